--- /dev/null
+++ b/src/admission.cpp
@@ -0,0 +1,177 @@
+// Rate limits, the door, weighted fair queues and the retry budget.
+#include "admission.h"
+
+#include <algorithm>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr double BurstSeconds = 2;        // of an account's rate
+constexpr int BatchFloor = 9;             // interactive calls per batch call
+constexpr double RetryShare = 0.1;        // retries per accepted request
+constexpr double MaxRetryBudget = 20;     // retries
+constexpr Millis DrainWindow = 1000;      // ms
+constexpr double MinDrainPerSecond = 1;   // calls
+constexpr Millis MinRetryAfter = 200;     // ms
+constexpr Millis MaxRetryAfter = 30000;   // ms
+constexpr double TokensPerWorkUnit = 256; // tokens
+constexpr double BytesPerToken = 4;
+
+std::size_t index(Priority Value) { return static_cast<std::size_t>(Value); }
+
+/// Work of a call in units of about one short answer.
+double work(const Call &C) {
+  const double Tokens =
+      static_cast<double>(C.Request_.Prompt_.size()) / BytesPerToken +
+      static_cast<double>(C.Request_.MaxTokens_);
+  return 1 + Tokens / TokensPerWorkUnit;
+}
+
+void fillBucket(AccountState &State, const Account &A, Millis Now) {
+  const double Capacity = std::max(1.0, A.RatePerSecond_ * BurstSeconds);
+  const double Elapsed = static_cast<double>(Now - State.FilledAt_) / 1000;
+  State.Tokens_ =
+      State.Tokens_ < 0
+          ? Capacity
+          : std::min(Capacity, State.Tokens_ + Elapsed * A.RatePerSecond_);
+  State.FilledAt_ = Now;
+}
+
+int waitingBefore(const State &S, Priority Which) {
+  const int Interactive = S.Admission_.Waiting_[index(Priority::Interactive)];
+  if (Which == Priority::Interactive)
+    return Interactive;
+  return Interactive + S.Admission_.Waiting_[index(Priority::Batch)];
+}
+
+Millis expectedWait(const State &S, Priority Which) {
+  const double Rate = std::max(MinDrainPerSecond, S.Admission_.DrainPerSecond_);
+  return static_cast<Millis>(waitingBefore(S, Which) * 1000 / Rate);
+}
+
+} // namespace
+
+Millis retryAfter(State &S) {
+  const Millis Drain = expectedWait(S, Priority::Batch);
+  const Millis Spread = std::max<Millis>(Drain, MinRetryAfter);
+  const Millis Jitter =
+      static_cast<Millis>(nextRandom(S) % static_cast<std::uint64_t>(Spread));
+  return std::min(MaxRetryAfter, Drain + MinRetryAfter + Jitter);
+}
+
+std::optional<CallError> checkAdmission(State &S, const Call &C,
+                                        const Account &A) {
+  AccountState &Account = S.Admission_.Accounts_[A.Name_];
+  fillBucket(Account, A, S.Now_);
+  if (Account.Tokens_ < 1) {
+    const double Missing = (1 - Account.Tokens_) / A.RatePerSecond_;
+    return CallError{ErrorKind::OverLimit, RunState::NotRun,
+                     "the account's request rate is used up",
+                     static_cast<Millis>(Missing * 1000) + MinRetryAfter};
+  }
+  if (Account.InFlight_ >= A.MaxInFlight_)
+    return CallError{ErrorKind::OverLimit, RunState::NotRun,
+                     "the account has too many requests in flight",
+                     retryAfter(S)};
+  const int Waiting = waitingBefore(S, Priority::Batch);
+  if (Waiting >= S.Settings_.Limits_.QueueLength_)
+    return CallError{ErrorKind::Overloaded, RunState::NotRun,
+                     "the queue is full", retryAfter(S)};
+  if (S.Now_ + expectedWait(S, C.Request_.Priority_) > C.Deadline_)
+    return CallError{ErrorKind::Overloaded, RunState::NotRun,
+                     "the queue is longer than the request's time limit",
+                     retryAfter(S)};
+  Account.Tokens_ -= 1;
+  S.Admission_.RetryBudget_ =
+      std::min(MaxRetryBudget, S.Admission_.RetryBudget_ + RetryShare);
+  return std::nullopt;
+}
+
+void enqueue(State &S, const Call &C, bool Front) {
+  AccountState &Account = S.Admission_.Accounts_[C.Account_];
+  auto &Queue = Account.Queues_[index(C.Request_.Priority_)];
+  if (Account.Queues_[0].empty() && Account.Queues_[1].empty()) {
+    // An account that was idle starts level with the least served one, so
+    // that it neither owes nor has saved up anything.
+    double Least = -1;
+    for (const auto &[Name, Other] : S.Admission_.Accounts_)
+      if (!Other.Queues_[0].empty() || !Other.Queues_[1].empty())
+        Least = Least < 0 ? Other.Served_ : std::min(Least, Other.Served_);
+    Account.Served_ = std::max(Account.Served_, Least);
+  }
+  if (Front)
+    Queue.push_front(C.Id_);
+  else
+    Queue.push_back(C.Id_);
+  ++S.Admission_.Waiting_[index(C.Request_.Priority_)];
+}
+
+void dequeue(State &S, const Call &C) {
+  const std::size_t Which = index(C.Request_.Priority_);
+  auto &Queue = S.Admission_.Accounts_[C.Account_].Queues_[Which];
+  const auto Found = std::find(Queue.begin(), Queue.end(), C.Id_);
+  if (Found == Queue.end())
+    return;
+  Queue.erase(Found);
+  --S.Admission_.Waiting_[Which];
+}
+
+std::vector<std::string> accountsByTurn(const State &S, Priority Which) {
+  std::vector<std::string> Names;
+  for (const auto &[Name, Account] : S.Admission_.Accounts_)
+    if (!Account.Queues_[index(Which)].empty())
+      Names.push_back(Name);
+  std::stable_sort(Names.begin(), Names.end(),
+                   [&](const auto &A, const auto &B) {
+                     return S.Admission_.Accounts_.at(A).Served_ <
+                            S.Admission_.Accounts_.at(B).Served_;
+                   });
+  return Names;
+}
+
+Priority nextPriority(const State &S) {
+  const bool BatchWaits = S.Admission_.Waiting_[index(Priority::Batch)] > 0;
+  if (BatchWaits && S.Admission_.SinceBatch_ >= BatchFloor)
+    return Priority::Batch;
+  return Priority::Interactive;
+}
+
+void noteServed(State &S, const Call &C) {
+  const auto Found = S.Config_.Value_.AccountsByKey_.find(C.Request_.ApiKey_);
+  const double Weight = Found == S.Config_.Value_.AccountsByKey_.end()
+                            ? 1
+                            : Found->second.Weight_;
+  S.Admission_.Accounts_[C.Account_].Served_ += work(C) / Weight;
+  if (C.Request_.Priority_ == Priority::Batch)
+    S.Admission_.SinceBatch_ = 0;
+  else
+    ++S.Admission_.SinceBatch_;
+}
+
+void noteFinished(State &S, const Call &C) {
+  AccountState &Account = S.Admission_.Accounts_[C.Account_];
+  Account.InFlight_ = std::max(0, Account.InFlight_ - 1);
+  AdmissionState &A = S.Admission_;
+  ++A.FinishedInWindow_;
+  const Millis Elapsed = S.Now_ - A.WindowStart_;
+  if (Elapsed < DrainWindow)
+    return;
+  // With nothing waiting the rate is that of arrivals: it may show that more
+  // is possible, never that less is.
+  const double Rate =
+      A.FinishedInWindow_ * 1000.0 / static_cast<double>(Elapsed);
+  if (waitingBefore(S, Priority::Batch) > 0 || Rate > A.DrainPerSecond_)
+    A.DrainPerSecond_ = (A.DrainPerSecond_ + Rate) / 2;
+  A.FinishedInWindow_ = 0;
+  A.WindowStart_ = S.Now_;
+}
+
+bool takeRetry(State &S) {
+  if (S.Admission_.RetryBudget_ < 1)
+    return false;
+  S.Admission_.RetryBudget_ -= 1;
+  return true;
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/admission.h
@@ -0,0 +1,49 @@
+// Decides at the door whether a request is taken, and whose turn it is when an
+// upstream has room: fair between accounts, interactive before batch, with a
+// floor for batch.
+#pragma once
+
+#include "state.h"
+
+#include <optional>
+
+namespace endivewharf {
+
+/// Checks an account's limits and whether the request can be answered in time.
+/// @param S state; the account's rate bucket is charged
+/// @param C call with its account and deadline
+/// @param A the account's configured limits
+/// @return the refusal, or nothing if the call is taken
+std::optional<CallError> checkAdmission(State &S, const Call &C,
+                                        const Account &A);
+
+/// Puts a call at the end (or, for a retry, at the front) of its queue.
+void enqueue(State &S, const Call &C, bool Front);
+
+/// Takes a call out of its queue, if it is there.
+void dequeue(State &S, const Call &C);
+
+/// Accounts in the order of their turn.
+/// @param S state
+/// @param Which priority
+/// @return names of accounts with waiting calls, least served first
+std::vector<std::string> accountsByTurn(const State &S, Priority Which);
+
+/// Which priority is served next while both wait.
+Priority nextPriority(const State &S);
+
+/// Books a call that leaves the queue for an upstream.
+void noteServed(State &S, const Call &C);
+
+/// Books an answered call, for the estimate of the drain rate.
+void noteFinished(State &S, const Call &C);
+
+/// Time until a refused caller should come back: the queue's expected drain
+/// time with jitter, so that refused callers don't return as one wave.
+Millis retryAfter(State &S);
+
+/// Takes one retry from the budget.
+/// @return false if the budget is spent
+bool takeRetry(State &S);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/attempts.h
@@ -0,0 +1,40 @@
+// Carries out attempts: speaks the customary streaming API with engines and
+// plain HTTP with services, and reports what came of it as events.
+#pragma once
+
+#include "client.h"
+#include "effect.h"
+
+#include <functional>
+#include <unordered_map>
+
+namespace endivewharf {
+
+using EventSink = std::function<void(EventBody)>;
+
+class AttemptRunner {
+public:
+  AttemptRunner(HttpClient &Client, EventSink Sink, std::int64_t MaxAnswer)
+      : Client_(Client), Sink_(std::move(Sink)), MaxAnswer_(MaxAnswer) {}
+
+  void start(const StartAttempt &E);
+  void cancel(const CancelAttempt &E);
+
+private:
+  struct Running;
+
+  void startCompletion(const StartAttempt &E);
+  void startService(const StartAttempt &E);
+  bool onBytes(Running &R, int Status, std::string_view Bytes);
+  bool onLine(Running &R, std::string_view Line);
+  void onDone(AttemptId Id, const HttpResult &Result);
+  void fail(AttemptId Id, AttemptFailure Failure, std::string Detail,
+            bool Leaving = false);
+
+  HttpClient &Client_;
+  EventSink Sink_;
+  std::int64_t MaxAnswer_;
+  std::unordered_map<AttemptId, std::shared_ptr<Running>> Running_;
+};
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/client.cpp
@@ -0,0 +1,316 @@
+// libcurl's sockets and timers on Asio, and time limits of our own: a transfer
+// that is silent for too long ends, whatever its connection says.
+#include "client.h"
+
+#include <chrono>
+#include <cstring>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr auto SweepPeriod = std::chrono::milliseconds(50);
+constexpr long ConnectLimitMs = 1000; // a new connection within a region
+constexpr long MaxIdleConnections = 512;
+constexpr std::size_t MaxIdleHandles = 128;
+constexpr std::string_view NotRunHeader = "x-not-run:";
+
+bool startsWithNoCase(std::string_view Text, std::string_view Prefix) {
+  return Text.size() >= Prefix.size() &&
+         strncasecmp(Text.data(), Prefix.data(), Prefix.size()) == 0;
+}
+
+} // namespace
+
+Millis monotonicNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+/// One request under way.
+struct HttpClient::Transfer {
+  std::uint64_t Id_ = 0;
+  CURL *Easy_ = nullptr;
+  curl_slist *Headers_ = nullptr;
+  HttpRequest Request_;
+  BodySink Body_;
+  DoneSink Done_;
+  Millis StartedAt_ = 0;
+  Millis LastByteAt_ = 0;
+  bool GotByte_ = false;
+  bool Stopped_ = false;
+  bool NotRun_ = false;
+};
+
+/// libcurl's socket on the event loop.
+struct HttpClient::SocketWatch {
+  SocketWatch(asio::io_context &Io, curl_socket_t Socket)
+      : Descriptor_(Io, Socket), Socket_(Socket) {}
+
+  asio::posix::stream_descriptor Descriptor_;
+  curl_socket_t Socket_;
+  bool WantRead_ = false;
+  bool WantWrite_ = false;
+  bool Reading_ = false;
+  bool Writing_ = false;
+  bool Closed_ = false;
+};
+
+HttpClient::HttpClient(asio::io_context &Io)
+    : Io_(Io), Multi_(curl_multi_init()), CurlTimer_(Io), SweepTimer_(Io) {
+  curl_multi_setopt(Multi_, CURLMOPT_SOCKETFUNCTION, &HttpClient::onSocket);
+  curl_multi_setopt(Multi_, CURLMOPT_SOCKETDATA, this);
+  curl_multi_setopt(Multi_, CURLMOPT_TIMERFUNCTION, &HttpClient::onTimer);
+  curl_multi_setopt(Multi_, CURLMOPT_TIMERDATA, this);
+  curl_multi_setopt(Multi_, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+  armSweep();
+}
+
+HttpClient::~HttpClient() {
+  for (auto &[Id, T] : Transfers_) {
+    curl_multi_remove_handle(Multi_, T->Easy_);
+    curl_easy_cleanup(T->Easy_);
+    curl_slist_free_all(T->Headers_);
+  }
+  for (CURL *Easy : Idle_)
+    curl_easy_cleanup(Easy);
+  curl_multi_cleanup(Multi_);
+  for (auto &[Socket, Watch] : Watches_)
+    Watch->Descriptor_.release();
+}
+
+std::uint64_t HttpClient::start(HttpRequest Request, BodySink Body,
+                                DoneSink Done) {
+  auto New = std::make_unique<Transfer>();
+  Transfer &T = *New;
+  T.Id_ = NextId_++;
+  T.Request_ = std::move(Request);
+  T.Body_ = std::move(Body);
+  T.Done_ = std::move(Done);
+  T.StartedAt_ = T.LastByteAt_ = monotonicNow();
+  if (Idle_.empty()) {
+    T.Easy_ = curl_easy_init();
+  } else {
+    T.Easy_ = Idle_.back();
+    Idle_.pop_back();
+    curl_easy_reset(T.Easy_);
+  }
+  CURL *E = T.Easy_;
+  curl_easy_setopt(E, CURLOPT_URL, T.Request_.Url_.c_str());
+  curl_easy_setopt(E, CURLOPT_NOSIGNAL, 1L);
+  curl_easy_setopt(E, CURLOPT_CONNECTTIMEOUT_MS, ConnectLimitMs);
+  curl_easy_setopt(E, CURLOPT_CUSTOMREQUEST, T.Request_.Method_.c_str());
+  curl_easy_setopt(E, CURLOPT_WRITEFUNCTION, &HttpClient::onBody);
+  curl_easy_setopt(E, CURLOPT_WRITEDATA, &T);
+  curl_easy_setopt(E, CURLOPT_HEADERFUNCTION, &HttpClient::onHeader);
+  curl_easy_setopt(E, CURLOPT_HEADERDATA, &T);
+  curl_easy_setopt(E, CURLOPT_PROXY, "");
+  if (T.Request_.Fresh_) {
+    curl_easy_setopt(E, CURLOPT_FRESH_CONNECT, 1L);
+    curl_easy_setopt(E, CURLOPT_FORBID_REUSE, 1L);
+  }
+  if (!T.Request_.Body_.empty() || T.Request_.Method_ == "POST") {
+    curl_easy_setopt(E, CURLOPT_POSTFIELDSIZE,
+                     static_cast<long>(T.Request_.Body_.size()));
+    curl_easy_setopt(E, CURLOPT_POSTFIELDS, T.Request_.Body_.c_str());
+  }
+  // No wait for "100 Continue" before a large body.
+  T.Headers_ = curl_slist_append(T.Headers_, "Expect:");
+  for (const std::string &Header : T.Request_.Headers_)
+    T.Headers_ = curl_slist_append(T.Headers_, Header.c_str());
+  curl_easy_setopt(E, CURLOPT_HTTPHEADER, T.Headers_);
+  ByHandle_[E] = &T;
+  const std::uint64_t Id = T.Id_;
+  Transfers_[Id] = std::move(New);
+  curl_multi_add_handle(Multi_, E);
+  return Id;
+}
+
+void HttpClient::cancel(std::uint64_t Id) {
+  const auto Found = Transfers_.find(Id);
+  if (Found == Transfers_.end())
+    return;
+  Found->second->Done_ = nullptr;
+  // Not from within libcurl's own callbacks.
+  asio::post(Io_, [this, Id] {
+    const auto Again = Transfers_.find(Id);
+    if (Again != Transfers_.end())
+      finish(*Again->second, TransferEnd::Stopped, "cancelled");
+  });
+}
+
+int HttpClient::onSocket(CURL *, curl_socket_t Socket, int What, void *User,
+                         void *) {
+  static_cast<HttpClient *>(User)->watch(Socket, What);
+  return 0;
+}
+
+void HttpClient::watch(curl_socket_t Socket, int What) {
+  const auto Found = Watches_.find(Socket);
+  if (What == CURL_POLL_REMOVE) {
+    if (Found == Watches_.end())
+      return;
+    Found->second->Closed_ = true;
+    Found->second->Descriptor_.release();
+    Watches_.erase(Found);
+    return;
+  }
+  auto Watch = Found != Watches_.end()
+                   ? Found->second
+                   : std::make_shared<SocketWatch>(Io_, Socket);
+  Watches_[Socket] = Watch;
+  Watch->WantRead_ = (What & CURL_POLL_IN) != 0;
+  Watch->WantWrite_ = (What & CURL_POLL_OUT) != 0;
+  wait(Watch, false);
+  wait(Watch, true);
+}
+
+void HttpClient::wait(const std::shared_ptr<SocketWatch> &Watch, bool Write) {
+  bool &Busy = Write ? Watch->Writing_ : Watch->Reading_;
+  const bool Want = Write ? Watch->WantWrite_ : Watch->WantRead_;
+  if (Busy || !Want || Watch->Closed_)
+    return;
+  Busy = true;
+  const auto Type = Write ? asio::posix::stream_descriptor::wait_write
+                          : asio::posix::stream_descriptor::wait_read;
+  Watch->Descriptor_.async_wait(
+      Type, [this, Watch, Write](const asio::error_code &Error) {
+        (Write ? Watch->Writing_ : Watch->Reading_) = false;
+        if (Watch->Closed_ || Error == asio::error::operation_aborted)
+          return;
+        const bool Wanted = Write ? Watch->WantWrite_ : Watch->WantRead_;
+        if (Wanted)
+          act(Watch->Socket_, Write ? CURL_CSELECT_OUT : CURL_CSELECT_IN);
+        wait(Watch, Write);
+      });
+}
+
+int HttpClient::onTimer(CURLM *, long TimeoutMs, void *User) {
+  auto &Self = *static_cast<HttpClient *>(User);
+  if (TimeoutMs < 0) {
+    Self.CurlTimer_.cancel();
+    return 0;
+  }
+  Self.CurlTimer_.expires_after(std::chrono::milliseconds(TimeoutMs));
+  Self.CurlTimer_.async_wait([&Self](const asio::error_code &Error) {
+    if (!Error)
+      Self.act(CURL_SOCKET_TIMEOUT, 0);
+  });
+  return 0;
+}
+
+void HttpClient::act(curl_socket_t Socket, int Mask) {
+  int Running = 0;
+  curl_multi_socket_action(Multi_, Socket, Mask, &Running);
+  collectFinished();
+}
+
+std::size_t HttpClient::onHeader(char *Data, std::size_t Size,
+                                 std::size_t Count, void *User) {
+  auto &T = *static_cast<Transfer *>(User);
+  if (startsWithNoCase({Data, Size * Count}, NotRunHeader))
+    T.NotRun_ = true;
+  return Size * Count;
+}
+
+std::size_t HttpClient::onBody(char *Data, std::size_t Size, std::size_t Count,
+                               void *User) {
+  auto &T = *static_cast<Transfer *>(User);
+  const std::size_t Bytes = Size * Count;
+  T.LastByteAt_ = monotonicNow();
+  T.GotByte_ = true;
+  if (!T.Done_)
+    return Bytes; // cancelled: read on until it is removed
+  long Status = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
+  if (T.Body_(static_cast<int>(Status), {Data, Bytes}))
+    return Bytes;
+  T.Stopped_ = true;
+  return 0;
+}
+
+void HttpClient::collectFinished() {
+  int Left = 0;
+  while (CURLMsg *Message = curl_multi_info_read(Multi_, &Left)) {
+    if (Message->msg != CURLMSG_DONE)
+      continue;
+    const CURLcode Code = Message->data.result;
+    const auto Found = ByHandle_.find(Message->easy_handle);
+    if (Found == ByHandle_.end())
+      continue;
+    Transfer &T = *Found->second;
+    long Sent = 0;
+    curl_easy_getinfo(T.Easy_, CURLINFO_REQUEST_SIZE, &Sent);
+    TransferEnd End = TransferEnd::Broken;
+    if (Code == CURLE_OK)
+      End = TransferEnd::Complete;
+    else if (T.Stopped_)
+      End = TransferEnd::Stopped;
+    else if (Sent == 0)
+      End = TransferEnd::NotSent;
+    finish(T, End, Code == CURLE_OK ? "" : curl_easy_strerror(Code));
+  }
+}
+
+void HttpClient::finish(Transfer &T, TransferEnd End, std::string Detail) {
+  HttpResult Result;
+  Result.End_ = End;
+  Result.Detail_ = std::move(Detail);
+  Result.NotRun_ = T.NotRun_;
+  long Status = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
+  Result.Status_ = static_cast<int>(Status);
+  const char *ContentType = nullptr;
+  curl_easy_getinfo(T.Easy_, CURLINFO_CONTENT_TYPE, &ContentType);
+  if (ContentType != nullptr)
+    Result.ContentType_ = ContentType;
+  curl_multi_remove_handle(Multi_, T.Easy_);
+  ByHandle_.erase(T.Easy_);
+  if (Idle_.size() < MaxIdleHandles)
+    Idle_.push_back(T.Easy_);
+  else
+    curl_easy_cleanup(T.Easy_);
+  curl_slist_free_all(T.Headers_);
+  const DoneSink Done = std::move(T.Done_);
+  Transfers_.erase(T.Id_);
+  if (Done)
+    Done(Result);
+}
+
+void HttpClient::sweep() {
+  const Millis Now = monotonicNow();
+  std::vector<std::uint64_t> Late;
+  for (const auto &[Id, T] : Transfers_) {
+    const HttpRequest &R = T->Request_;
+    const bool First = R.FirstByteLimit_ > 0 && !T->GotByte_ &&
+                       Now - T->StartedAt_ > R.FirstByteLimit_;
+    const bool Progress = R.ProgressLimit_ > 0 && T->GotByte_ &&
+                          Now - T->LastByteAt_ > R.ProgressLimit_;
+    const bool Total = R.TotalLimit_ > 0 && Now - T->StartedAt_ > R.TotalLimit_;
+    if (First || Progress || Total)
+      Late.push_back(Id);
+  }
+  for (const std::uint64_t Id : Late) {
+    const auto Found = Transfers_.find(Id);
+    if (Found == Transfers_.end())
+      continue;
+    Transfer &T = *Found->second;
+    long Sent = 0;
+    curl_easy_getinfo(T.Easy_, CURLINFO_REQUEST_SIZE, &Sent);
+    finish(T, Sent == 0 ? TransferEnd::NotSent : TransferEnd::Silent,
+           "a time limit passed");
+  }
+}
+
+void HttpClient::armSweep() {
+  SweepTimer_.expires_after(SweepPeriod);
+  SweepTimer_.async_wait([this](const asio::error_code &Error) {
+    if (Error)
+      return;
+    sweep();
+    armSweep();
+  });
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/client.h
@@ -0,0 +1,102 @@
+// HTTP client for upstreams and the platform: libcurl's multi interface on the
+// process's own event loop. Knows nothing of calls.
+#pragma once
+
+#include "types.h"
+
+#include <asio.hpp>
+#include <curl/curl.h>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace endivewharf {
+
+/// One request; zero limits mean none.
+struct HttpRequest {
+  std::string Method_ = "GET";
+  std::string Url_;
+  std::vector<std::string> Headers_; ///< `Name: value`.
+  std::string Body_;
+  Millis FirstByteLimit_ = 0; ///< From the start to the first body byte.
+  Millis ProgressLimit_ = 0;  ///< Between two body bytes.
+  Millis TotalLimit_ = 0;
+  bool Fresh_ = false; ///< Neither reuse a connection nor keep this one.
+};
+
+/// How a transfer ended.
+enum class TransferEnd {
+  Complete,
+  NotSent, ///< No byte of the request was written.
+  Broken,
+  Silent, ///< A limit passed.
+  Stopped ///< The receiver wanted no more.
+};
+
+struct HttpResult {
+  TransferEnd End_ = TransferEnd::Broken;
+  int Status_ = 0;
+  std::string ContentType_;
+  std::string Detail_;
+  bool NotRun_ = false; ///< The answer says that the call was not run.
+};
+
+/// Gets body bytes; returns false to stop the transfer.
+using BodySink = std::function<bool(int Status, std::string_view Bytes)>;
+using DoneSink = std::function<void(const HttpResult &)>;
+
+class HttpClient {
+public:
+  explicit HttpClient(asio::io_context &Io);
+  ~HttpClient();
+  HttpClient(const HttpClient &) = delete;
+  HttpClient &operator=(const HttpClient &) = delete;
+
+  /// Starts a transfer; `Done` is called exactly once, later.
+  /// @return number for `cancel`
+  std::uint64_t start(HttpRequest Request, BodySink Body, DoneSink Done);
+
+  /// Stops a transfer without calling its `Done`; unknown numbers are fine.
+  void cancel(std::uint64_t Id);
+
+  std::size_t activeTransfers() const { return Transfers_.size(); }
+
+private:
+  struct Transfer;
+  struct SocketWatch;
+
+  static int onSocket(CURL *Easy, curl_socket_t Socket, int What, void *User,
+                      void *SocketUser);
+  static int onTimer(CURLM *Multi, long TimeoutMs, void *User);
+  static std::size_t onBody(char *Data, std::size_t Size, std::size_t Count,
+                            void *User);
+  static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
+                              void *User);
+
+  void watch(curl_socket_t Socket, int What);
+  void wait(const std::shared_ptr<SocketWatch> &Watch, bool Write);
+  void act(curl_socket_t Socket, int Mask);
+  void collectFinished();
+  void finish(Transfer &T, TransferEnd End, std::string Detail);
+  void sweep();
+  void armSweep();
+
+  asio::io_context &Io_;
+  CURLM *Multi_;
+  asio::steady_timer CurlTimer_;
+  asio::steady_timer SweepTimer_;
+  std::map<std::uint64_t, std::unique_ptr<Transfer>> Transfers_;
+  std::unordered_map<CURL *, Transfer *> ByHandle_;
+  std::map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches_;
+  std::vector<CURL *> Idle_; ///< Handles to use again.
+  std::uint64_t NextId_ = 1;
+};
+
+/// Milliseconds on the monotonic clock.
+Millis monotonicNow();
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/config.h
@@ -0,0 +1,108 @@
+// Configuration that operators publish to the log: client accounts, models and
+// plain services. Pure parsing and checking; the order of versions is decided
+// in controlplane.h.
+#pragma once
+
+#include "types.h"
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <variant>
+#include <vector>
+
+namespace endivewharf {
+
+/// One client account and its limits.
+struct Account {
+  std::string Name_;
+  std::string Key_;
+  double Weight_ = 1;         ///< Share of the capacity against other accounts.
+  double RatePerSecond_ = 50; ///< Long-term limit in requests per second.
+  int MaxInFlight_ = 200;     ///< Requests accepted and not yet answered.
+};
+
+/// One model and the version that serves it.
+struct ModelEntry {
+  std::string Name_;
+  std::string Version_;
+};
+
+/// A method and path prefix whose calls may not be repeated.
+struct UnrepeatableRoute {
+  std::string Method_;
+  std::string PathPrefix_;
+};
+
+/// One plain service.
+struct ServiceEntry {
+  std::string Name_;
+  std::vector<UnrepeatableRoute> Unrepeatable_;
+};
+
+/// Everything that one configuration version says.
+struct Configuration {
+  std::map<std::string, Account> AccountsByKey_;
+  std::map<std::string, ModelEntry> Models_;
+  std::map<std::string, ServiceEntry> Services_;
+};
+
+/// One mistake in a settings or configuration file.
+struct FileMistake {
+  std::string File_;
+  int Line_ = 0; ///< 0: the file as a whole.
+  std::string Section_;
+  std::string Key_;
+  std::string Expected_;
+};
+
+using FileMistakes = std::vector<FileMistake>;
+
+/// One INI section with the line numbers of its keys.
+struct IniSection {
+  struct Entry {
+    std::string Key_;
+    std::string Value_;
+    int Line_ = 0;
+  };
+  std::string Kind_; ///< First word of the header.
+  std::string Name_; ///< The rest of the header; may be empty.
+  int Line_ = 0;
+  std::vector<Entry> Entries_;
+};
+
+/// Reads INI text into sections in file order.
+/// @param Text whole file
+/// @param File name used in mistakes
+/// @return sections, or every line that is not INI
+tl::expected<std::vector<IniSection>, FileMistakes>
+parseIni(std::string_view Text, std::string_view File);
+
+/// Parses and checks a configuration.
+/// @param Text INI text
+/// @param File name used in mistakes
+/// @return the configuration, or every mistake found
+tl::expected<Configuration, FileMistakes>
+parseConfiguration(std::string_view Text, std::string_view File);
+
+/// @return true if a call of the service may not be run twice
+bool isUnrepeatable(const ServiceEntry &Service, std::string_view Method,
+                    std::string_view Path);
+
+/// Reads a duration such as `250ms`, `3s` or `2m`.
+/// @return milliseconds, or nothing if the text is no duration
+tl::expected<Millis, std::monostate> parseDuration(std::string_view Text);
+
+/// Reads a size such as `512KiB` or `32MiB`.
+/// @return bytes, or nothing if the text is no size
+tl::expected<std::int64_t, std::monostate> parseSize(std::string_view Text);
+
+/// Finds the known word with the smallest edit distance.
+std::string nearestWord(std::string_view Word,
+                        const std::vector<std::string> &Known);
+
+/// One line for an operator.
+std::string describe(const FileMistake &Mistake);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/controllog.cpp
@@ -0,0 +1,275 @@
+// The log's reader and writer. A configuration's version is its offset; a
+// record whose base is not the version in force is rejected, by the same rule
+// everywhere, so racing operators get one winner.
+#include "controllog.h"
+
+#include "claims.h"
+#include "core.h"
+#include "lease.h"
+#include "release.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr Millis LogRetryPeriod = 250;    // ms after a failure
+constexpr Millis SnapshotPeriod = 30000;  // ms
+constexpr Millis GenesisPatience = 2000;  // ms to wait for a base
+constexpr std::size_t MaxRejections = 32; // kept for operators
+constexpr std::size_t MaxBatch = 256;     // records an append
+
+void keepRejection(std::map<LogOffset, std::string> &Rejected, LogOffset Offset,
+                   std::string Why) {
+  Rejected[Offset] = std::move(Why);
+  if (Rejected.size() > MaxRejections)
+    Rejected.erase(Rejected.begin());
+}
+
+void takeConfiguration(State &S, LogOffset Version, const std::string &Text,
+                       Configuration Value, Effects &Out) {
+  S.Config_.Version_ = Version;
+  S.Config_.Text_ = Text;
+  S.Config_.Value_ = std::move(Value);
+  remember(S, "configuration", fmt::format("version {} in force", Version));
+  logEvent(Out, "config_in_force", {{"version", std::to_string(Version)}});
+}
+
+/// Applies one record. Control records at or before the control version have
+/// been applied already, or came with a snapshot.
+struct RecordVisitor {
+  State &S_;
+  LogOffset Offset_;
+  Effects &Out_;
+
+  bool known() const { return Offset_ <= S_.Control_.Version_; }
+  void applied() const { S_.Control_.Version_ = Offset_; }
+
+  void operator()(const ConfigRecord &R) const {
+    if (known())
+      return;
+    auto Parsed = parseConfiguration(R.Text_, "configuration");
+    if (R.Base_ != S_.Config_.Version_) {
+      reject(fmt::format("it changes version {}, but {} is in force", R.Base_,
+                         S_.Config_.Version_));
+      return;
+    }
+    if (!Parsed) {
+      reject(describe(Parsed.error().front()));
+      return;
+    }
+    takeConfiguration(S_, Offset_, R.Text_, std::move(*Parsed), Out_);
+    applied();
+  }
+
+  void operator()(const NoteRecord &R) const {
+    if (known())
+      return;
+    applyNote(S_, Offset_, R, Out_);
+    applied();
+  }
+
+  void operator()(const ShareRecord &R) const {
+    if (known())
+      return;
+    if (R.Epoch_ == S_.Lease_.Epoch_)
+      applyShare(S_, R, Out_);
+    else
+      count(S_, "fenced_records");
+    applied();
+  }
+
+  void operator()(const VerdictRecord &R) const {
+    if (known())
+      return;
+    markBad(S_, R.Fact_, Out_);
+    applied();
+  }
+
+  void operator()(const SnapshotRecord &R) const {
+    if (!S_.Control_.Baseless_)
+      return;
+    adoptControl(S_, R.Control_, "snapshot", Out_);
+    S_.Control_.Baseless_ = false;
+    auto Later = std::move(S_.Control_.Unjudged_);
+    S_.Control_.Unjudged_.clear();
+    for (const auto &[Offset, Record] : Later)
+      if (Offset > R.Through_)
+        std::visit(RecordVisitor{S_, Offset, Out_}, Record);
+  }
+
+  void operator()(const LeaseAcquireRecord &R) const {
+    applyLeaseAcquire(S_, Offset_, R, Out_);
+  }
+  void operator()(const LeaseRenewRecord &R) const {
+    applyLeaseRenew(S_, Offset_, R, Out_);
+  }
+  void operator()(const ClaimRecord &R) const { onClaim(S_, R, Out_); }
+  void operator()(const ClaimReleaseRecord &R) const {
+    onClaimRelease(S_, R, Out_);
+  }
+  void operator()(const ClaimDoneRecord &R) const { onClaimDone(S_, R, Out_); }
+
+private:
+  void reject(std::string Why) const {
+    logWarning(Out_, "config_rejected",
+               {{"offset", std::to_string(Offset_)}, {"reason", Why}});
+    keepRejection(S_.Config_.Rejected_, Offset_, std::move(Why));
+  }
+};
+
+/// Records whose meaning depends on those before them.
+bool needsBase(const LogRecord &Record) {
+  return std::holds_alternative<ConfigRecord>(Record) ||
+         std::holds_alternative<NoteRecord>(Record) ||
+         std::holds_alternative<ShareRecord>(Record);
+}
+
+void applyEntry(State &S, const LogEntry &Entry, Effects &Out) {
+  S.Log_.ReadThrough_ = Entry.Offset_;
+  if (!Entry.Record_) {
+    count(S, "log_records_not_understood");
+    return;
+  }
+  if (S.Control_.Baseless_ && needsBase(*Entry.Record_)) {
+    S.Control_.Unjudged_.emplace_back(Entry.Offset_, *Entry.Record_);
+    return;
+  }
+  std::visit(RecordVisitor{S, Entry.Offset_, Out}, *Entry.Record_);
+}
+
+/// A record that may be appended again after a lost reply: applying it twice
+/// is the same as once.
+bool isIdempotent(const LogRecord &Record) {
+  return std::holds_alternative<ClaimRecord>(Record) ||
+         std::holds_alternative<ClaimReleaseRecord>(Record) ||
+         std::holds_alternative<ClaimDoneRecord>(Record) ||
+         std::holds_alternative<VerdictRecord>(Record);
+}
+
+void noteRetention(State &S, LogOffset Earliest) {
+  if (Earliest <= S.Log_.Next_)
+    return;
+  const bool First = S.Log_.ReadThrough_ == NoOffset;
+  if (!First)
+    forgetClaims(S);
+  if (S.Control_.Version_ == NoOffset && !S.Control_.Baseless_) {
+    S.Control_.Baseless_ = true;
+    S.Control_.BaselessSince_ = S.Now_;
+  }
+}
+
+} // namespace
+
+void appendRecord(State &S, LogRecord Record) {
+  S.Log_.Outbox_.push_back(std::move(Record));
+}
+
+void onLogRead(State &S, const LogRead &E, Effects &Out) {
+  S.Log_.Reading_ = false;
+  S.Log_.Available_ = true;
+  noteRetention(S, E.Earliest_);
+  for (const LogEntry &Entry : E.Entries_)
+    if (Entry.Offset_ >= S.Log_.Next_)
+      applyEntry(S, Entry, Out);
+  S.Log_.Next_ = std::max(S.Log_.Next_, E.Next_);
+  if (E.AtTail_) {
+    S.Log_.SawTail_ = true;
+    S.Log_.FreshAt_ = S.Log_.ReadStartedAt_;
+  }
+}
+
+void onLogReadFailed(State &S, Effects &Out) {
+  S.Log_.Reading_ = false;
+  if (S.Log_.Available_)
+    logWarning(Out, "log_unavailable", {});
+  S.Log_.Available_ = false;
+  S.Log_.RetryAt_ = S.Now_ + LogRetryPeriod;
+}
+
+void onAppendEnded(State &S, const AppendEnded &E, Effects &) {
+  if (E.Append_ != S.Log_.PendingAppend_)
+    return;
+  S.Log_.PendingAppend_ = 0;
+  std::vector<LogRecord> Pending = std::move(S.Log_.Pending_);
+  S.Log_.Pending_.clear();
+  if (E.Accepted_)
+    return;
+  // Whether the append took effect is not known. Claims and outcomes go in
+  // again; what is bound to a moment is decided anew.
+  S.Log_.RetryAt_ = S.Now_ + LogRetryPeriod;
+  std::erase_if(Pending, [](const LogRecord &R) { return !isIdempotent(R); });
+  S.Log_.Outbox_.insert(S.Log_.Outbox_.begin(), Pending.begin(), Pending.end());
+}
+
+void driveLog(State &S, Effects &Out) {
+  LogState &Log = S.Log_;
+  if (!Log.Reading_ && S.Now_ >= Log.RetryAt_) {
+    Log.Reading_ = true;
+    Log.ReadStartedAt_ = S.Now_;
+    Out.push_back(ReadLog{Log.Next_});
+  }
+  if (Log.PendingAppend_ != 0 || Log.Outbox_.empty() || S.Now_ < Log.RetryAt_)
+    return;
+  const auto Batch =
+      static_cast<std::ptrdiff_t>(std::min(Log.Outbox_.size(), MaxBatch));
+  Log.Pending_.assign(Log.Outbox_.begin(), Log.Outbox_.begin() + Batch);
+  Log.Outbox_.erase(Log.Outbox_.begin(), Log.Outbox_.begin() + Batch);
+  Log.PendingAppend_ = Log.NextAppend_++;
+  count(S, "log_appends");
+  Out.push_back(AppendToLog{Log.PendingAppend_, Log.Pending_});
+}
+
+void tickControl(State &S, Effects &Out) {
+  if (S.Control_.Baseless_ && S.Log_.SawTail_ &&
+      S.Now_ - S.Control_.BaselessSince_ > GenesisPatience) {
+    // Neither a snapshot nor a peer: the records that are left are all there
+    // is.
+    logWarning(Out, "control_from_remaining_records", {});
+    S.Control_.Baseless_ = false;
+    auto Remaining = std::move(S.Control_.Unjudged_);
+    S.Control_.Unjudged_.clear();
+    for (const auto &[Offset, Record] : Remaining)
+      std::visit(RecordVisitor{S, Offset, Out}, Record);
+  }
+  if (holdsLease(S) && S.Config_.Version_ != NoOffset &&
+      S.Now_ - S.Control_.SnapshotAt_ > SnapshotPeriod) {
+    S.Control_.SnapshotAt_ = S.Now_;
+    appendRecord(S, SnapshotRecord{S.Lease_.Epoch_, S.Log_.ReadThrough_,
+                                   controlSnapshot(S)});
+  }
+}
+
+ControlSnapshot controlSnapshot(const State &S) {
+  ControlSnapshot Control;
+  Control.Version_ = S.Control_.Version_;
+  Control.ConfigVersion_ = S.Config_.Version_;
+  Control.ConfigText_ = S.Config_.Text_;
+  Control.NoteVersion_ = S.Release_.NoteVersion_;
+  for (const auto &[Model, M] : S.Release_.Moves_)
+    Control.Moves_.push_back(M.Row_);
+  return Control;
+}
+
+void adoptControl(State &S, const ControlSnapshot &Control,
+                  std::string_view Source, Effects &Out) {
+  if (Control.Version_ <= S.Control_.Version_)
+    return;
+  auto Parsed = parseConfiguration(Control.ConfigText_, "configuration");
+  if (!Parsed) {
+    count(S, "control_states_not_understood");
+    return;
+  }
+  S.Control_.Version_ = Control.Version_;
+  if (Control.ConfigVersion_ > S.Config_.Version_)
+    takeConfiguration(S, Control.ConfigVersion_, Control.ConfigText_,
+                      std::move(*Parsed), Out);
+  adoptMoves(S, Control.NoteVersion_, Control.Moves_, Out);
+  logEvent(Out, "control_adopted",
+           {{"version", std::to_string(Control.Version_)},
+            {"source", std::string(Source)}});
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/core.cpp
@@ -0,0 +1,159 @@
+// Composes the modules into one reducer.
+#include "core.h"
+
+#include "calls.h"
+#include "claims.h"
+#include "controllog.h"
+#include "handover.h"
+#include "lease.h"
+#include "membership.h"
+#include "release.h"
+#include "upstreams.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr std::size_t MaxDecisions = 512; // kept for `dump`
+constexpr Millis PeerPatience = 1500;     // ms to wait for the log at start
+
+/// A process serves once it knows the newest configuration that the log or,
+/// with the log away, its peers know.
+void tickStart(State &S, Effects &Out) {
+  if (S.Stage_ != Stage::Starting || S.Config_.Version_ == NoOffset)
+    return;
+  const bool FromLog = S.Log_.SawTail_ && !S.Control_.Baseless_;
+  const bool FromPeers = S.Now_ - S.StartedAt_ > PeerPatience;
+  if (!FromLog && !FromPeers)
+    return;
+  S.Stage_ = Stage::Serving;
+  logEvent(Out, "serving",
+           {{"config", std::to_string(S.Config_.Version_)},
+            {"source", FromLog ? "log" : "peers"}});
+}
+
+void onTick(State &S, Effects &Out) {
+  tickUpstreams(S, Out);
+  tickMembership(S, Out);
+  tickControl(S, Out);
+  tickLease(S, Out);
+  tickClaims(S);
+  tickRelease(S, Out);
+  tickCalls(S, Out);
+  tickStop(S, Out);
+  tickStart(S, Out);
+}
+
+/// One visitor for all events.
+struct EventVisitor {
+  State &S_;
+  Effects &Out_;
+
+  void operator()(const RequestArrived &E) const {
+    onRequestArrived(S_, E, Out_);
+  }
+  void operator()(const ResumeArrived &E) const {
+    onResumeArrived(S_, E, Out_);
+  }
+  void operator()(const CallerGone &E) const { onCallerGone(S_, E, Out_); }
+  void operator()(const AttemptToken &E) const { onAttemptToken(S_, E, Out_); }
+  void operator()(const AttemptEnded &E) const { onAttemptEnded(S_, E, Out_); }
+  void operator()(const AttemptFailed &E) const {
+    onAttemptFailed(S_, E, Out_);
+  }
+  void operator()(const ServiceReply &E) const { onServiceReply(S_, E, Out_); }
+  void operator()(const PeerReceived &E) const { onPeerReceived(S_, E, Out_); }
+  void operator()(const LogRead &E) const { onLogRead(S_, E, Out_); }
+  void operator()(const LogReadFailed &) const { onLogReadFailed(S_, Out_); }
+  void operator()(const AppendEnded &E) const { onAppendEnded(S_, E, Out_); }
+  void operator()(const HostsRead &E) const {
+    onHostsRead(S_, E, Out_);
+    dispatchWaiting(S_, Out_);
+  }
+  void operator()(const NoticesRead &E) const { onNoticesRead(S_, E, Out_); }
+  void operator()(const ProbeEnded &E) const {
+    onProbeEnded(S_, E, Out_);
+    dispatchWaiting(S_, Out_);
+  }
+  void operator()(const Tick &) const { onTick(S_, Out_); }
+  void operator()(const StopRequested &E) const {
+    beginStop(S_, E.TimeLeft_, "signal", Out_);
+  }
+};
+
+} // namespace
+
+Effects reduce(State &S, const Event &E) {
+  Effects Out;
+  S.Now_ = E.Now_;
+  S.UnixMs_ = E.UnixMs_;
+  S.Random_ ^= E.Random_;
+  if (S.StartedAt_ < 0)
+    S.StartedAt_ = E.Now_;
+  std::visit(EventVisitor{S, Out}, E.Body_);
+  driveLog(S, Out);
+  S.Ready_ = S.Stage_ == Stage::Serving;
+  return Out;
+}
+
+State makeState(const Settings &From, std::uint64_t Incarnation) {
+  State S;
+  S.Settings_ = From;
+  S.Self_ = {From.Name_, Incarnation};
+  S.Random_ = Incarnation | 1;
+  for (const PeerSettings &Peer : From.Peers_) {
+    Member M;
+    M.Row_.Life_.Name_ = Peer.Name_;
+    M.Row_.DataCentre_ = Peer.DataCentre_;
+    M.Row_.Zone_ = Peer.Zone_;
+    S.Membership_.Members_[Peer.Name_] = M;
+  }
+  return S;
+}
+
+void beginStop(State &S, Millis TimeLeft, std::string_view Reason,
+               Effects &Out) {
+  const Millis Limit =
+      TimeLeft > 0 ? TimeLeft : S.Settings_.Limits_.DrainLimit_;
+  const Millis Deadline = S.Now_ + Limit;
+  if (S.Stage_ == Stage::Draining || S.Stage_ == Stage::Leaving) {
+    S.StopDeadline_ = std::min(S.StopDeadline_, Deadline);
+    return;
+  }
+  S.Stage_ = Stage::Draining;
+  S.StopStartedAt_ = S.Now_;
+  S.StopDeadline_ = Deadline;
+  logEvent(Out, "stopping",
+           {{"reason", std::string(Reason)},
+            {"time_left_ms", std::to_string(Limit)}});
+  copyCallsToPeers(S, Out);
+}
+
+void logEvent(Effects &Out, std::string Event, LogFields Fields) {
+  Out.push_back(WriteLog{std::move(Event), std::move(Fields), false});
+}
+
+void logWarning(Effects &Out, std::string Event, LogFields Fields) {
+  Out.push_back(WriteLog{std::move(Event), std::move(Fields), true});
+}
+
+void remember(State &S, std::string Subject, std::string Text) {
+  S.Decisions_.push_back({S.Now_, std::move(Subject), std::move(Text)});
+  if (S.Decisions_.size() > MaxDecisions)
+    S.Decisions_.pop_front();
+}
+
+std::uint64_t nextRandom(State &S) {
+  // xorshift64 (G. Marsaglia, Xorshift RNGs, 2003).
+  S.Random_ ^= S.Random_ << 13;
+  S.Random_ ^= S.Random_ >> 7;
+  S.Random_ ^= S.Random_ << 17;
+  if (S.Random_ == 0)
+    S.Random_ = 1;
+  return S.Random_;
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/effect.h
@@ -0,0 +1,148 @@
+// Everything that the core asks the edges to do, as plain data.
+#pragma once
+
+#include "event.h"
+
+#include <string>
+#include <utility>
+#include <variant>
+#include <vector>
+
+namespace endivewharf {
+
+/// Sends a request to one upstream.
+struct StartAttempt {
+  AttemptId Attempt_ = 0;
+  CallKind Kind_ = CallKind::Completion;
+  std::string Address_;
+  std::string RequestId_;
+  std::string Model_;
+  std::string Version_;
+  std::string Route_;
+  std::string Body_;
+  std::string Delivered_; ///< Text generated so far, to go on from.
+  std::int64_t NextIndex_ = 0;
+  Priority Priority_ = Priority::Interactive;
+  std::string Method_;
+  std::string Path_;
+  std::string ContentType_;
+  std::string IdempotencyKey_;
+  Millis FirstByteLimit_ = 0;
+  Millis ProgressLimit_ = 0;
+  bool FreshConnection_ = false; ///< Do not reuse a connection.
+};
+
+struct CancelAttempt {
+  AttemptId Attempt_ = 0;
+};
+
+/// Sends the head of a streamed answer.
+struct StartStream {
+  CallId Call_ = 0;
+  std::string RequestId_;
+  std::string Model_;
+};
+
+struct SendToken {
+  CallId Call_ = 0;
+  std::int64_t Index_ = 0;
+  std::string Text_;
+};
+
+/// Sends the end marker.
+struct FinishStream {
+  CallId Call_ = 0;
+  std::string FinishReason_;
+  std::int64_t Tokens_ = 0;
+};
+
+/// Ends a stream and says where to go on.
+struct MoveStream {
+  CallId Call_ = 0;
+  std::int64_t NextIndex_ = 0;
+};
+
+struct ReplyWhole {
+  CallId Call_ = 0;
+  std::string RequestId_;
+  std::string Model_;
+  std::string Text_;
+  std::string FinishReason_;
+  std::int64_t PromptTokens_ = 0;
+  std::int64_t Tokens_ = 0;
+};
+
+struct ReplyService {
+  CallId Call_ = 0;
+  std::string RequestId_;
+  int Status_ = 0;
+  std::string ContentType_;
+  std::string Body_;
+  bool Replayed_ = false; ///< Outcome of an earlier call with the same key.
+};
+
+struct RefuseCall {
+  CallId Call_ = 0;
+  std::string RequestId_;
+  CallError Error_;
+};
+
+struct SendToPeer {
+  std::string Peer_;
+  PeerMessage Message_;
+};
+
+/// Replaces a peer link on which nothing arrives.
+struct ReconnectPeer {
+  std::string Peer_;
+};
+
+struct ReadLog {
+  LogOffset From_ = 0;
+};
+
+struct AppendToLog {
+  std::uint64_t Append_ = 0;
+  std::vector<LogRecord> Records_;
+};
+
+struct ReadHosts {};
+
+struct ReadNotices {};
+
+struct ProbeUpstream {
+  Life Host_;
+  std::string Address_;
+};
+
+/// Desired state for an engine, with the lease's fencing number.
+struct OrderLoad {
+  Life Host_;
+  std::string Address_;
+  LogOffset Epoch_ = NoOffset;
+  std::string Model_;
+  std::string Version_;
+};
+
+/// One structured log line.
+struct WriteLog {
+  std::string Event_;
+  std::vector<std::pair<std::string, std::string>> Fields_;
+  bool Warning_ = false;
+};
+
+/// Closes the listening socket once its backlog is empty.
+struct CloseListener {};
+
+/// Ends the process: nothing is left to do.
+struct ExitProcess {};
+
+using Effect = std::variant<StartAttempt, CancelAttempt, StartStream, SendToken,
+                            FinishStream, MoveStream, ReplyWhole, ReplyService,
+                            RefuseCall, SendToPeer, ReconnectPeer, ReadLog,
+                            AppendToLog, ReadHosts, ReadNotices, ProbeUpstream,
+                            OrderLoad, WriteLog, CloseListener, ExitProcess>;
+
+using Effects = std::vector<Effect>;
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/handover.cpp
@@ -0,0 +1,186 @@
+// Graceful stop. Records go to two peers in other zones; the caller is told to
+// go on elsewhere only after one of them has said that it holds the record.
+#include "handover.h"
+
+#include "calls.h"
+#include "core.h"
+#include "lease.h"
+#include "membership.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr Millis HandoverLead = 1500; // ms before the end to hand over
+constexpr Millis HandoverRetry = 300; // ms without an acknowledgement
+constexpr Millis UnreadyTime = 500;   // ms for the balancer to notice
+constexpr Millis FindLimit = 1500;    // ms to wait for the call's holder
+constexpr std::size_t Copies = 2;     // peers that get a record
+
+std::vector<CallId> runningCompletions(const State &S) {
+  std::vector<CallId> Ids;
+  for (const auto &[Id, C] : S.Calls_)
+    if (C.Request_.Kind_ == CallKind::Completion &&
+        C.Phase_ != CallPhase::Finding)
+      Ids.push_back(Id);
+  std::sort(Ids.begin(), Ids.end(), [&](CallId A, CallId B) {
+    const Priority Left = S.Calls_.at(A).Request_.Priority_;
+    const Priority Right = S.Calls_.at(B).Request_.Priority_;
+    return std::pair(Left, A) < std::pair(Right, B);
+  });
+  return Ids;
+}
+
+/// Sends a call's record to the next peers in order.
+void sendRecord(State &S, Call &C, Effects &Out) {
+  const std::vector<std::string> Peers = takeoverOrder(S);
+  for (std::size_t I = 0; I < std::min(Copies, Peers.size()); ++I) {
+    const std::size_t Which =
+        (static_cast<std::size_t>(C.PeersAsked_) + I) % Peers.size();
+    Out.push_back(SendToPeer{Peers[Which], HandoverMessage{recordOf(C)}});
+  }
+  C.PeersAsked_ += static_cast<int>(Copies);
+  C.MovedAt_ = S.Now_;
+}
+
+/// Freezes a call, so that the record holds all that its caller was sent.
+void moveOut(State &S, Call &C, Effects &Out) {
+  cancelAttempt(S, C, Out);
+  C.Phase_ = CallPhase::MovingOut;
+  C.PeersAsked_ = 0;
+  sendRecord(S, C, Out);
+}
+
+void handOverAll(State &S, Effects &Out) {
+  for (const CallId Id : runningCompletions(S)) {
+    Call &C = S.Calls_.at(Id);
+    if (C.Phase_ != CallPhase::MovingOut)
+      moveOut(S, C, Out);
+    else if (S.Now_ - C.MovedAt_ > HandoverRetry)
+      sendRecord(S, C, Out);
+  }
+}
+
+void refuseRest(State &S, Effects &Out) {
+  std::vector<CallId> Ids;
+  for (const auto &[Id, C] : S.Calls_)
+    Ids.push_back(Id);
+  std::sort(Ids.begin(), Ids.end());
+  for (const CallId Id : Ids) {
+    Call &C = S.Calls_.at(Id);
+    refuse(S, C,
+           {ErrorKind::Draining, runStateOf(S, C), "this process ends", 200},
+           Out);
+  }
+}
+
+} // namespace
+
+void onHandover(State &S, const std::string &From, const HandoverMessage &M,
+                Effects &Out) {
+  holdRecord(S, M.Record_);
+  count(S, "records_taken_over");
+  Out.push_back(SendToPeer{From, HandoverAckMessage{M.Record_.RequestId_}});
+}
+
+void onHandoverAck(State &S, const HandoverAckMessage &M, Effects &Out) {
+  const auto Found = S.CallByRequestId_.find(M.RequestId_);
+  if (Found == S.CallByRequestId_.end())
+    return;
+  Call &C = S.Calls_.at(Found->second);
+  if (C.Phase_ != CallPhase::MovingOut)
+    return; // the answer to an early copy
+  count(S, "handed_over");
+  logEvent(
+      Out, "handed_over",
+      {{"request", C.RequestId_}, {"tokens", std::to_string(C.NextIndex_)}});
+  Out.push_back(MoveStream{C.Id_, C.NextIndex_});
+  forgetCall(S, C.Id_);
+}
+
+void onFindCall(State &S, const std::string &From, const FindCallMessage &M,
+                Effects &Out) {
+  FoundCallMessage Answer{M.RequestId_, false, {}};
+  const auto Live = S.CallByRequestId_.find(M.RequestId_);
+  if (Live != S.CallByRequestId_.end()) {
+    Call &C = S.Calls_.at(Live->second);
+    if (C.Request_.Kind_ == CallKind::Completion &&
+        C.Phase_ != CallPhase::Finding) {
+      // The caller has gone on elsewhere; its connection here is dead.
+      onCallerGone(S, {C.Id_}, Out);
+    }
+  }
+  const auto Held = S.Held_.ById_.find(M.RequestId_);
+  if (Held != S.Held_.ById_.end()) {
+    Answer.Held_ = true;
+    Answer.Record_ = Held->second;
+  }
+  Out.push_back(SendToPeer{From, std::move(Answer)});
+}
+
+void onFoundCall(State &S, const FoundCallMessage &M, Effects &Out) {
+  const auto Found = S.CallByRequestId_.find(M.RequestId_);
+  if (Found == S.CallByRequestId_.end())
+    return;
+  Call &C = S.Calls_.at(Found->second);
+  if (C.Phase_ != CallPhase::Finding)
+    return;
+  if (M.Held_) {
+    resumeFrom(S, C, M.Record_, Out);
+    return;
+  }
+  if (--C.PeersAsked_ == 0)
+    refuse(S, C,
+           {ErrorKind::NotFound, RunState::Unknown,
+            "no process holds this request", 0},
+           Out);
+}
+
+void askPeersForCall(State &S, Call &C, Effects &Out) {
+  C.Phase_ = CallPhase::Finding;
+  C.Deadline_ = std::min(C.Deadline_, S.Now_ + FindLimit);
+  for (const auto &[Name, M] : S.Membership_.Members_) {
+    if (!M.Alive_)
+      continue;
+    ++C.PeersAsked_;
+    Out.push_back(SendToPeer{Name, FindCallMessage{C.RequestId_}});
+  }
+  if (C.PeersAsked_ == 0)
+    refuse(S, C,
+           {ErrorKind::NotFound, RunState::Unknown,
+            "no process holds this request", 0},
+           Out);
+}
+
+void copyCallsToPeers(State &S, Effects &Out) {
+  for (const CallId Id : runningCompletions(S))
+    sendRecord(S, S.Calls_.at(Id), Out);
+}
+
+void tickStop(State &S, Effects &Out) {
+  if (S.Stage_ != Stage::Draining && S.Stage_ != Stage::Leaving)
+    return;
+  const bool Short = S.StopDeadline_ - S.StopStartedAt_ < 2 * HandoverLead;
+  const Millis Unready = Short ? 0 : UnreadyTime;
+  if (!S.ListenerClosed_ && S.Now_ - S.StopStartedAt_ >= Unready) {
+    S.ListenerClosed_ = true;
+    releaseLease(S);
+    Out.push_back(CloseListener{});
+  }
+  if (S.Now_ >= S.StopDeadline_ - HandoverLead)
+    handOverAll(S, Out);
+  if (S.Now_ >= S.StopDeadline_)
+    refuseRest(S, Out);
+  const bool Flushed = S.Log_.Outbox_.empty() && S.Log_.PendingAppend_ == 0;
+  const bool Idle = S.Calls_.empty() && S.ListenerClosed_;
+  if (Idle && (Flushed || S.Now_ >= S.StopDeadline_)) {
+    S.Stage_ = Stage::Stopped;
+    logEvent(Out, "stopped", {});
+    Out.push_back(ExitProcess{});
+  }
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/http.h
@@ -0,0 +1,53 @@
+// Callers' and operators' HTTP by RESTinio: reads requests into events, writes
+// answers from effects. No policy.
+#pragma once
+
+#include "attempts.h"
+#include "effect.h"
+
+#include <asio.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace endivewharf {
+
+/// What operators may ask for.
+struct OperatorViews {
+  std::function<std::string()> Dump_;
+  std::function<std::string()> Metrics_;
+  std::function<bool()> Ready_;
+};
+
+class HttpEdge {
+public:
+  HttpEdge(asio::io_context &Io, const Settings &From, EventSink Sink,
+           OperatorViews Views);
+  ~HttpEdge();
+  HttpEdge(const HttpEdge &) = delete;
+  HttpEdge &operator=(const HttpEdge &) = delete;
+
+  /// Listens on both addresses.
+  /// @param Failed called if an address can't be used
+  void open(std::function<void(std::string)> Failed);
+
+  void operator()(const StartStream &E);
+  void operator()(const SendToken &E);
+  void operator()(const FinishStream &E);
+  void operator()(const MoveStream &E);
+  void operator()(const ReplyWhole &E);
+  void operator()(const ReplyService &E);
+  void operator()(const RefuseCall &E);
+
+  /// No new connections; answers under way go on.
+  void closeListener();
+
+  /// @return true if nothing is left to be written
+  bool isIdle() const;
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,137 @@
+// The binary's command line: the first argument is the command.
+#include "commands.h"
+#include "load.h"
+
+#include <curl/curl.h>
+#include <fmt/format.h>
+#include <functional>
+#include <gflags/gflags.h>
+#include <map>
+#include <sstream>
+#include <string_view>
+
+DEFINE_string(settings, "", "settings file of the process");
+DEFINE_string(file, "", "configuration or release note");
+DEFINE_string(log, "http://127.0.0.1:9200", "URL of the log service");
+DEFINE_string(operator, "127.0.0.1:9100", "operators' address of a process");
+DEFINE_string(entries, "", "load: entry processes, ip:port,ip:port");
+DEFINE_string(keys, "", "load: keys of accounts, the largest one first");
+DEFINE_string(model, "", "load: model to ask");
+DEFINE_string(service, "", "load: plain service for bookings");
+DEFINE_double(rate, 20, "load: requests per second");
+DEFINE_double(seconds, 5, "load: duration");
+DEFINE_double(batch, 0.3, "load: share of batch requests");
+DEFINE_double(bookings, 0.1, "load: share of bookings");
+DEFINE_int32(max_tokens, 30, "load: tokens per answer");
+DEFINE_int32(prompt_words, 100, "load: words per prompt");
+DEFINE_uint64(seed, 1, "load: random seed");
+DEFINE_bool(json, false, "load: report as JSON");
+
+namespace {
+
+constexpr std::string_view Version = "0.1.0";
+
+constexpr std::string_view Help =
+    R"(endivewharf serves language models and plain services on reclaimable hosts.
+
+usage: endivewharf COMMAND [OPTION...]
+
+  serve --settings=FILE        run an entry process
+  check --settings=FILE        report every mistake in a settings file
+  config check --file=FILE     report every mistake in a configuration
+  config publish --file=FILE --log=URL --operator=IP:PORT
+                               publish a configuration, based on the one that
+                               the process knows
+  config status --operator=IP:PORT
+                               which processes have the configuration in force
+  note check --file=FILE       report every mistake in a release note
+  note publish --file=FILE --log=URL --operator=IP:PORT
+  note status --operator=IP:PORT
+                               state of each release move, with its reason
+  dump --operator=IP:PORT      whole state of a process as JSON
+  load --entries=IP:PORT,... --keys=KEY,... --model=NAME [--service=NAME]
+       [--rate=N] [--seconds=N] [--batch=SHARE] [--bookings=SHARE]
+       [--max_tokens=N] [--prompt_words=N] [--seed=N] [--json]
+                               open-loop load with a report
+
+  --help, --version
+
+exit codes: 0 ok, 1 failed, 2 usage or settings
+)";
+
+std::vector<std::string> splitList(const std::string &Text) {
+  std::vector<std::string> Items;
+  std::stringstream Stream(Text);
+  for (std::string Item; std::getline(Stream, Item, ',');)
+    if (!Item.empty())
+      Items.push_back(Item);
+  return Items;
+}
+
+int loadCommand() {
+  endivewharf::LoadOptions Options;
+  Options.Addresses_ = splitList(FLAGS_entries);
+  Options.Keys_ = splitList(FLAGS_keys);
+  if (Options.Addresses_.empty() || Options.Keys_.empty()) {
+    fmt::print(stderr, "endivewharf: load needs --entries and --keys\n");
+    return endivewharf::ExitUsage;
+  }
+  Options.Model_ = FLAGS_model;
+  Options.Service_ = FLAGS_service;
+  Options.Rate_ = FLAGS_rate;
+  Options.Seconds_ = FLAGS_seconds;
+  Options.BatchShare_ = FLAGS_batch;
+  Options.BookingShare_ = FLAGS_bookings;
+  Options.MaxTokens_ = FLAGS_max_tokens;
+  Options.PromptWords_ = FLAGS_prompt_words;
+  Options.Seed_ = FLAGS_seed;
+  Options.Json_ = FLAGS_json;
+  return endivewharf::runLoad(Options);
+}
+
+const std::map<std::string, std::function<int()>> &commands() {
+  using namespace endivewharf;
+  static const std::map<std::string, std::function<int()>> Commands = {
+      {"serve", [] { return serveCommand(FLAGS_settings); }},
+      {"check", [] { return checkSettings(FLAGS_settings); }},
+      {"config check", [] { return configCheck(FLAGS_file); }},
+      {"config publish",
+       [] { return configPublish(FLAGS_log, FLAGS_operator, FLAGS_file); }},
+      {"config status", [] { return configStatus(FLAGS_operator); }},
+      {"note check", [] { return noteCheck(FLAGS_file); }},
+      {"note publish",
+       [] { return notePublish(FLAGS_log, FLAGS_operator, FLAGS_file); }},
+      {"note status", [] { return noteStatus(FLAGS_operator); }},
+      {"dump", [] { return dumpProcess(FLAGS_operator); }},
+      {"load", [] { return loadCommand(); }},
+  };
+  return Commands;
+}
+
+} // namespace
+
+int main(int Argc, char **Argv) {
+  for (int I = 1; I < Argc; ++I) {
+    const std::string_view Argument = Argv[I];
+    if (Argument == "--help" || Argument == "-h") {
+      fmt::print("{}", Help);
+      return endivewharf::ExitSuccess;
+    }
+    if (Argument == "--version") {
+      fmt::print("endivewharf {}\n", Version);
+      return endivewharf::ExitSuccess;
+    }
+  }
+  std::string Command;
+  int First = 1;
+  for (; First < Argc && Argv[First][0] != '-'; ++First)
+    Command += (Command.empty() ? "" : " ") + std::string(Argv[First]);
+  const auto Found = commands().find(Command);
+  if (Found == commands().end()) {
+    fmt::print(stderr, "endivewharf: no command \"{}\"\n{}", Command, Help);
+    return endivewharf::ExitUsage;
+  }
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  curl_global_init(CURL_GLOBAL_DEFAULT);
+  return Found->second();
+}
--- /dev/null
+++ b/src/membership.cpp
@@ -0,0 +1,251 @@
+// Heartbeats with digests, rumours of facts, and pulls of control state. Full
+// digests go within a data centre; across, a few rows are enough.
+#include "membership.h"
+
+#include "controllog.h"
+#include "core.h"
+#include "handover.h"
+#include "release.h"
+#include "upstreams.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr Millis DigestPeriod = 500;           // ms between digests
+constexpr Millis SilenceLimit = 3000;          // ms without a heartbeat
+constexpr std::uint64_t MaxUnacknowledged = 4; // digests to one peer
+constexpr std::size_t SmallGroup = 6;          // peers who all get everything
+constexpr std::size_t DigestTargets = 2;       // in our data centre, else
+constexpr std::size_t RumourTargets = 5;       // peers told of a new fact
+constexpr std::size_t Judges = 3;     // processes that collect evidence
+constexpr std::size_t RemoteRows = 4; // members told across data centres
+
+std::vector<std::string> peerNames(const State &S, bool OnlyAlive) {
+  std::vector<std::string> Names;
+  for (const auto &[Name, M] : S.Membership_.Members_)
+    if (!OnlyAlive || M.Alive_)
+      Names.push_back(Name);
+  return Names;
+}
+
+/// A few peers by chance, all of them in a small group.
+std::vector<std::string> somePeers(State &S, std::vector<std::string> Names,
+                                   std::size_t Wanted) {
+  if (Names.size() <= std::max(Wanted, SmallGroup))
+    return Names;
+  for (std::size_t I = 0; I < Wanted; ++I)
+    std::swap(Names[I], Names[I + nextRandom(S) % (Names.size() - I)]);
+  Names.resize(Wanted);
+  return Names;
+}
+
+std::uint64_t hashText(std::string_view Text, std::uint64_t Seed) {
+  return XXH3_64bits_withSeed(Text.data(), Text.size(), Seed);
+}
+
+/// Hash of all facts; equal for equal sets.
+std::uint64_t factsHash(const State &S) {
+  std::uint64_t Sum = 0;
+  for (const auto &[Key, Fact] : S.Leaving_)
+    Sum += hashText(Key, 1);
+  for (const auto &[Key, Fact] : S.Release_.Bad_)
+    Sum += hashText(fmt::format("{}|{}", Key.first, Key.second), 2);
+  return Sum;
+}
+
+MemberRow ownRow(const State &S) {
+  MemberRow Row;
+  Row.Life_ = S.Self_;
+  Row.DataCentre_ = S.Settings_.DataCentre_;
+  Row.Zone_ = S.Settings_.Zone_;
+  Row.Heartbeat_ = S.Membership_.Heartbeat_;
+  Row.ConfigVersion_ = S.Config_.Version_;
+  Row.Draining_ = S.Stage_ != Stage::Serving;
+  return Row;
+}
+
+DigestMessage makeDigest(State &S, Member &To) {
+  DigestMessage Digest;
+  Digest.Members_.push_back(ownRow(S));
+  const bool Local = To.Row_.DataCentre_ == S.Settings_.DataCentre_;
+  for (const auto &[Name, M] : S.Membership_.Members_) {
+    if (!M.Alive_ || Name == To.Row_.Life_.Name_)
+      continue;
+    if (!Local && Digest.Members_.size() > RemoteRows)
+      break;
+    Digest.Members_.push_back(M.Row_);
+  }
+  Digest.ControlVersion_ = S.Control_.Version_;
+  Digest.FactsHash_ = factsHash(S);
+  Digest.Sequence_ = ++To.SequenceSent_;
+  Digest.Acknowledged_ = To.SequenceSeen_;
+  return Digest;
+}
+
+FactsMessage allFacts(const State &S) {
+  FactsMessage Facts;
+  for (const auto &[Key, Fact] : S.Leaving_)
+    Facts.Leaving_.push_back(Fact);
+  for (const auto &[Key, Fact] : S.Release_.Bad_)
+    Facts.Bad_.push_back(Fact);
+  return Facts;
+}
+
+void setAlive(Member &M, bool Alive, Effects &Out) {
+  if (M.Alive_ == Alive)
+    return;
+  M.Alive_ = Alive;
+  logEvent(Out, Alive ? "peer_alive" : "peer_silent",
+           {{"peer", M.Row_.Life_.Name_}});
+}
+
+void mergeRow(State &S, const MemberRow &Row, Effects &Out) {
+  if (Row.Life_.Name_ == S.Self_.Name_)
+    return;
+  const auto Found = S.Membership_.Members_.find(Row.Life_.Name_);
+  if (Found == S.Membership_.Members_.end())
+    return; // not in our settings: no address to reach it at
+  Member &M = Found->second;
+  const bool NewLife = Row.Life_.Incarnation_ > M.Row_.Life_.Incarnation_;
+  const bool SameLife = Row.Life_.Incarnation_ == M.Row_.Life_.Incarnation_;
+  if (!NewLife && !(SameLife && Row.Heartbeat_ > M.Row_.Heartbeat_))
+    return;
+  M.Row_ = Row;
+  M.AdvancedAt_ = S.Now_;
+  setAlive(M, true, Out);
+}
+
+/// A link over which a peer has got none of the last digests is dead or the
+/// peer is; a new connection tells.
+void replaceSilentLink(Member &To, Effects &Out) {
+  if (To.SequenceSent_ - To.LinkSince_ < MaxUnacknowledged ||
+      To.SequenceSent_ - To.Acknowledged_ < MaxUnacknowledged)
+    return;
+  To.LinkSince_ = To.SequenceSent_;
+  Out.push_back(ReconnectPeer{To.Row_.Life_.Name_});
+}
+
+/// One visitor for all messages of a peer.
+struct MessageVisitor {
+  State &S_;
+  const std::string &From_;
+  Effects &Out_;
+
+  void operator()(const DigestMessage &D) const {
+    for (const MemberRow &Row : D.Members_)
+      mergeRow(S_, Row, Out_);
+    const auto Found = S_.Membership_.Members_.find(From_);
+    if (Found == S_.Membership_.Members_.end())
+      return;
+    Found->second.SequenceSeen_ = D.Sequence_;
+    Found->second.Acknowledged_ = D.Acknowledged_;
+    if (D.ControlVersion_ > S_.Control_.Version_)
+      Out_.push_back(SendToPeer{From_, ControlRequestMessage{}});
+    if (D.FactsHash_ != factsHash(S_))
+      Out_.push_back(SendToPeer{From_, allFacts(S_)});
+  }
+
+  void operator()(const FactsMessage &F) const {
+    // Whatever is new spreads further from within these calls.
+    for (const LeavingFact &Fact : F.Leaving_)
+      markLeaving(S_, Fact.Host_, Fact.Reason_, Out_);
+    for (const BadVersionFact &Fact : F.Bad_)
+      markBad(S_, Fact, Out_);
+    mergeEvidence(S_, F.Evidence_);
+  }
+
+  void operator()(const ControlMessage &M) const {
+    adoptControl(S_, M.Control_, From_, Out_);
+  }
+
+  void operator()(const ControlRequestMessage &) const {
+    Out_.push_back(SendToPeer{From_, ControlMessage{controlSnapshot(S_)}});
+  }
+
+  void operator()(const HandoverMessage &M) const {
+    onHandover(S_, From_, M, Out_);
+  }
+  void operator()(const HandoverAckMessage &M) const {
+    onHandoverAck(S_, M, Out_);
+  }
+  void operator()(const FindCallMessage &M) const {
+    onFindCall(S_, From_, M, Out_);
+  }
+  void operator()(const FoundCallMessage &M) const { onFoundCall(S_, M, Out_); }
+};
+
+} // namespace
+
+void onPeerReceived(State &S, const PeerReceived &E, Effects &Out) {
+  count(S, "peer_messages");
+  std::visit(MessageVisitor{S, E.Envelope_.From_.Name_, Out},
+             E.Envelope_.Message_);
+}
+
+void tickMembership(State &S, Effects &Out) {
+  for (auto &[Name, M] : S.Membership_.Members_)
+    if (M.Alive_ && S.Now_ - M.AdvancedAt_ > SilenceLimit)
+      setAlive(M, false, Out);
+  if (S.Now_ - S.Membership_.DigestAt_ < DigestPeriod)
+    return;
+  S.Membership_.DigestAt_ = S.Now_;
+  ++S.Membership_.Heartbeat_;
+  std::vector<std::string> Near;
+  std::vector<std::string> Far;
+  for (const auto &[Name, M] : S.Membership_.Members_)
+    (M.Row_.DataCentre_ == S.Settings_.DataCentre_ ? Near : Far)
+        .push_back(Name);
+  std::vector<std::string> Targets = somePeers(S, Near, DigestTargets);
+  const std::vector<std::string> Across = somePeers(S, Far, 1);
+  Targets.insert(Targets.end(), Across.begin(), Across.end());
+  for (const std::string &Name : Targets) {
+    Member &To = S.Membership_.Members_.at(Name);
+    replaceSilentLink(To, Out);
+    Out.push_back(SendToPeer{Name, makeDigest(S, To)});
+  }
+}
+
+void spreadFacts(State &S, const FactsMessage &Facts, std::string_view Except,
+                 Effects &Out) {
+  std::vector<std::string> Names = peerNames(S, false);
+  std::erase(Names, std::string(Except));
+  for (const std::string &Name : somePeers(S, Names, RumourTargets))
+    Out.push_back(SendToPeer{Name, Facts});
+}
+
+void sendToJudges(State &S, const FactsMessage &Facts, Effects &Out) {
+  std::vector<std::string> Names = peerNames(S, true);
+  if (Names.size() > SmallGroup) {
+    // The same few for everybody, by rank.
+    std::sort(Names.begin(), Names.end(), [](const auto &A, const auto &B) {
+      return hashText(A, 3) < hashText(B, 3);
+    });
+    Names.resize(Judges);
+  }
+  for (const std::string &Name : Names)
+    Out.push_back(SendToPeer{Name, Facts});
+}
+
+std::vector<std::string> takeoverOrder(const State &S) {
+  std::vector<std::pair<int, std::string>> Ranked;
+  for (const auto &[Name, M] : S.Membership_.Members_) {
+    if (!M.Alive_ || M.Row_.Draining_)
+      continue;
+    const bool SameZone = M.Row_.Zone_ == S.Settings_.Zone_ &&
+                          M.Row_.DataCentre_ == S.Settings_.DataCentre_;
+    const bool SameDataCentre = M.Row_.DataCentre_ == S.Settings_.DataCentre_;
+    Ranked.emplace_back(SameZone ? 2 : SameDataCentre ? 0 : 1, Name);
+  }
+  std::sort(Ranked.begin(), Ranked.end());
+  std::vector<std::string> Names;
+  for (auto &[Rank, Name] : Ranked)
+    Names.push_back(std::move(Name));
+  return Names;
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/membership.h
@@ -0,0 +1,27 @@
+// Which other entry processes live, and the spreading of facts among them.
+#pragma once
+
+#include "state.h"
+
+#include <string_view>
+
+namespace endivewharf {
+
+void onPeerReceived(State &S, const PeerReceived &E, Effects &Out);
+
+/// Sends heartbeats and finds out who has fallen silent.
+void tickMembership(State &S, Effects &Out);
+
+/// Sends new facts to some peers, who pass on what is new to them.
+/// @param Except peer that the facts came from; empty for none
+void spreadFacts(State &S, const FactsMessage &Facts, std::string_view Except,
+                 Effects &Out);
+
+/// Sends evidence to the few processes that judge.
+void sendToJudges(State &S, const FactsMessage &Facts, Effects &Out);
+
+/// Living peers, those best suited to take over work first: other zones and
+/// data centres before our own.
+std::vector<std::string> takeoverOrder(const State &S);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/messages.h
@@ -0,0 +1,261 @@
+// Typed messages between entry processes and typed records in the platform's
+// log. Data only; codec.h turns them into bytes and back.
+#pragma once
+
+#include "types.h"
+
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace endivewharf {
+
+/// One life of a named process or host; a restart is another life.
+struct Life {
+  std::string Name_;
+  std::uint64_t Incarnation_ = 0;
+
+  bool operator==(const Life &) const = default;
+  auto operator<=>(const Life &) const = default;
+};
+
+//===-- Facts that every process may add and none may take back ----------===//
+
+/// This life of a host gets no new work.
+struct LeavingFact {
+  Life Host_;
+  std::string Reason_;
+};
+
+/// This release move is taken back.
+struct BadVersionFact {
+  LogOffset Note_ = NoOffset;
+  std::string Model_;
+  std::string Reason_;
+};
+
+//===-- Evidence for a release verdict ------------------------------------===//
+
+/// Sums over finished attempts; only grows, so the larger one is the newer.
+struct SampleSums {
+  std::int64_t Count_ = 0;
+  std::int64_t Failed_ = 0;
+  std::int64_t Timed_ = 0;      ///< Attempts that gave a latency.
+  double LogLatency_ = 0;       ///< Sum of ln(latency / 1 ms).
+  double LogLatencySquare_ = 0; ///< Sum of squares of the same.
+};
+
+/// What one process saw of one version on one route in its data centre.
+struct EvidenceRow {
+  LogOffset Note_ = NoOffset;
+  std::string Model_;
+  bool New_ = false; ///< The version that the note brings in.
+  std::string Route_;
+  std::string DataCentre_;
+  Life Observer_;
+  std::int64_t Window_ = 0; ///< Number of the time window.
+  SampleSums Sums_;
+};
+
+//===-- Messages between entry processes ----------------------------------===//
+
+/// One process as others know it.
+struct MemberRow {
+  Life Life_;
+  std::string DataCentre_;
+  std::string Zone_;
+  std::uint64_t Heartbeat_ = 0;
+  LogOffset ConfigVersion_ = NoOffset;
+  bool Draining_ = false;
+};
+
+/// One model's release move.
+struct MoveRow {
+  LogOffset Note_ = NoOffset;
+  std::string NoteId_;
+  std::int64_t DeadlineUnixMs_ = 0;
+  std::string Model_;
+  std::string From_;
+  std::string To_;
+  double Share_ = 0;
+  bool Bad_ = false;
+  std::string Reason_;
+};
+
+/// What the log's control records add up to, up to one of them.
+struct ControlSnapshot {
+  LogOffset Version_ = NoOffset; ///< Last control record that was applied.
+  LogOffset ConfigVersion_ = NoOffset;
+  std::string ConfigText_;
+  LogOffset NoteVersion_ = NoOffset;
+  std::vector<MoveRow> Moves_;
+};
+
+/// Periodic heartbeat and summary of what the sender knows.
+struct DigestMessage {
+  std::vector<MemberRow> Members_;
+  LogOffset ControlVersion_ = NoOffset;
+  std::uint64_t FactsHash_ = 0;
+  std::uint64_t Sequence_ = 0;
+  std::uint64_t Acknowledged_ = 0; ///< Last sequence got from the receiver.
+};
+
+/// Facts and evidence; merging is idempotent and order does not matter.
+struct FactsMessage {
+  std::vector<LeavingFact> Leaving_;
+  std::vector<BadVersionFact> Bad_;
+  std::vector<EvidenceRow> Evidence_;
+};
+
+/// The sender's control state; the one with the higher version holds.
+struct ControlMessage {
+  ControlSnapshot Control_;
+};
+
+/// Asks for the receiver's control state.
+struct ControlRequestMessage {};
+
+/// A running completion, complete enough to go on with it elsewhere.
+struct CallRecord {
+  std::string RequestId_;
+  std::string AccountKey_;
+  std::string Model_;
+  std::string Route_;
+  std::string Body_;                   ///< The caller's request body.
+  std::string Delivered_;              ///< Text generated so far.
+  std::vector<std::size_t> TokenEnds_; ///< End of each token within it.
+  std::int64_t NextIndex_ = 0;
+  std::int64_t MaxTokens_ = 0;
+  bool Stream_ = false;
+  bool Finished_ = false;
+  std::string FinishReason_;
+  Priority Priority_ = Priority::Interactive;
+};
+
+struct HandoverMessage {
+  CallRecord Record_;
+};
+
+struct HandoverAckMessage {
+  std::string RequestId_;
+};
+
+/// Asks whether the receiver holds a call.
+struct FindCallMessage {
+  std::string RequestId_;
+};
+
+struct FoundCallMessage {
+  std::string RequestId_;
+  bool Held_ = false;
+  CallRecord Record_;
+};
+
+using PeerMessage =
+    std::variant<DigestMessage, FactsMessage, ControlMessage,
+                 ControlRequestMessage, HandoverMessage, HandoverAckMessage,
+                 FindCallMessage, FoundCallMessage>;
+
+/// A message with its sender.
+struct PeerEnvelope {
+  Life From_;
+  PeerMessage Message_;
+};
+
+//===-- Records in the log
+//--------------------------------------------------===//
+
+/// A configuration that an operator publishes.
+struct ConfigRecord {
+  LogOffset Base_ = NoOffset; ///< Version that the operator changed.
+  std::string Text_;
+};
+
+/// One model's change in a release note.
+struct VersionChange {
+  std::string Model_;
+  std::string To_;
+};
+
+/// A release note that an operator publishes.
+struct NoteRecord {
+  LogOffset Base_ = NoOffset; ///< Note before this one.
+  std::string Id_;
+  std::int64_t DeadlineUnixMs_ = 0;
+  std::vector<VersionChange> Changes_;
+};
+
+/// Takes the control lease, if nobody renewed it since `Previous_`.
+struct LeaseAcquireRecord {
+  Life Holder_;
+  LogOffset Previous_ = NoOffset; ///< Last lease record that was read.
+  Millis Length_ = 0;
+  std::uint64_t Nonce_ = 0; ///< Tells the holder which of its records it is.
+};
+
+struct LeaseRenewRecord {
+  Life Holder_;
+  LogOffset Epoch_ = NoOffset;
+  Millis Length_ = 0;
+  std::uint64_t Nonce_ = 0;
+  bool Released_ = false; ///< The holder gives the lease up.
+};
+
+/// Share of a model's traffic for the new version; needs the lease.
+struct ShareRecord {
+  LogOffset Epoch_ = NoOffset;
+  LogOffset Note_ = NoOffset;
+  std::string Model_;
+  double Share_ = 0;
+  std::string Reason_;
+};
+
+/// A verdict made to last; needs no lease, as it only restricts.
+struct VerdictRecord {
+  BadVersionFact Fact_;
+};
+
+/// Intent to run a call that may not be repeated.
+struct ClaimRecord {
+  std::string Key_;
+  std::string ClaimId_;
+  Life Claimer_;
+  std::uint64_t Fingerprint_ = 0; ///< Hash of method, path and body.
+};
+
+/// The claimer never ran the call and never will.
+struct ClaimReleaseRecord {
+  std::string Key_;
+  std::string ClaimId_;
+};
+
+/// The call's outcome.
+struct ClaimDoneRecord {
+  std::string Key_;
+  std::string ClaimId_;
+  bool Known_ = true; ///< False: the reply was lost.
+  int Status_ = 0;
+  std::string ContentType_;
+  std::string Body_;
+};
+
+/// State that would expire with its records; needs the lease.
+struct SnapshotRecord {
+  LogOffset Epoch_ = NoOffset;
+  LogOffset Through_ = NoOffset; ///< Last offset that the writer had read.
+  ControlSnapshot Control_;
+};
+
+using LogRecord =
+    std::variant<ConfigRecord, NoteRecord, LeaseAcquireRecord, LeaseRenewRecord,
+                 ShareRecord, VerdictRecord, ClaimRecord, ClaimReleaseRecord,
+                 ClaimDoneRecord, SnapshotRecord>;
+
+/// A record at its place; empty if it could not be understood.
+struct LogEntry {
+  LogOffset Offset_ = NoOffset;
+  std::optional<LogRecord> Record_;
+};
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/metrics.cpp
@@ -0,0 +1,79 @@
+// A registry filled at each scrape from counters that the process keeps
+// anyway; low cardinality: no request, caller or host names.
+#include "metrics.h"
+
+#include "lease.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace endivewharf {
+
+namespace {
+
+void addCounter(prometheus::Registry &Registry, const std::string &Name,
+                const std::string &Help, std::int64_t Value,
+                const prometheus::Labels &Labels = {}) {
+  prometheus::BuildCounter()
+      .Name("endivewharf_" + Name + "_total")
+      .Help(Help)
+      .Register(Registry)
+      .Add(Labels)
+      .Increment(static_cast<double>(Value));
+}
+
+void addGauge(prometheus::Registry &Registry, const std::string &Name,
+              const std::string &Help, double Value,
+              const prometheus::Labels &Labels = {}) {
+  prometheus::BuildGauge()
+      .Name("endivewharf_" + Name)
+      .Help(Help)
+      .Register(Registry)
+      .Add(Labels)
+      .Set(Value);
+}
+
+} // namespace
+
+std::string renderMetrics(const State &S, const EdgeTotals &Edge) {
+  prometheus::Registry Registry;
+  for (const auto &[Name, Value] : S.Counters_.Values_)
+    addCounter(Registry, Name, "events since the start", Value);
+  addCounter(Registry, "peer_bytes_sent", "bytes to other processes",
+             Edge.PeerBytesSent_);
+  addCounter(Registry, "peer_bytes_received", "bytes from other processes",
+             Edge.PeerBytesReceived_);
+  for (const auto &[Type, Bytes] : Edge.PeerBytesByType_)
+    addCounter(Registry, "peer_message_bytes", "bytes sent by message type",
+               Bytes, {{"type", Type}});
+  const auto Usable =
+      std::count_if(S.Upstreams_.begin(), S.Upstreams_.end(),
+                    [](const Upstream &U) { return !U.Leaving_ && U.Listed_; });
+  const auto Alive = std::count_if(
+      S.Membership_.Members_.begin(), S.Membership_.Members_.end(),
+      [](const auto &Entry) { return Entry.second.Alive_; });
+  addGauge(Registry, "ready", "1 if callers may come", S.Ready_ ? 1 : 0);
+  addGauge(Registry, "log_available", "1 if the log answers",
+           S.Log_.Available_ ? 1 : 0);
+  addGauge(Registry, "lease_held", "1 if this process holds the lease",
+           holdsLease(S) ? 1 : 0);
+  addGauge(Registry, "config_version", "offset of the configuration in force",
+           static_cast<double>(S.Config_.Version_));
+  addGauge(Registry, "calls", "requests under way",
+           static_cast<double>(S.Calls_.size()));
+  addGauge(Registry, "waiting", "requests waiting for an upstream",
+           S.Admission_.Waiting_[0], {{"priority", "interactive"}});
+  addGauge(Registry, "waiting", "requests waiting for an upstream",
+           S.Admission_.Waiting_[1], {{"priority", "batch"}});
+  addGauge(Registry, "upstreams", "upstreams that may get work",
+           static_cast<double>(Usable));
+  addGauge(Registry, "peers_alive", "other processes that are heard from",
+           static_cast<double>(Alive));
+  return prometheus::TextSerializer().Serialize(Registry.Collect());
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/note.cpp
@@ -0,0 +1,119 @@
+// Release notes in INI.
+#include "note.h"
+
+#include <chrono>
+#include <ctime>
+#include <fmt/format.h>
+
+namespace endivewharf {
+
+namespace {
+
+/// Milliseconds since 1970 of `2027-03-01T06:00:00Z`; -1 if it is none.
+std::int64_t parseUtc(const std::string &Text) {
+  std::tm Time{};
+  const char *End = strptime(Text.c_str(), "%Y-%m-%dT%H:%M:%SZ", &Time);
+  if (End == nullptr || *End != '\0')
+    return -1;
+  return static_cast<std::int64_t>(timegm(&Time)) * 1000;
+}
+
+std::int64_t unixNow() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
+class NoteReader {
+public:
+  explicit NoteReader(std::string_view File) : File_(File) {}
+
+  void read(const IniSection &Section) {
+    if (Section.Kind_ == "note")
+      readHead(Section);
+    else if (Section.Kind_ == "change")
+      readChange(Section);
+    else
+      add(Section, Section.Line_, "", "a section note or change");
+  }
+
+  tl::expected<NoteRecord, FileMistakes> finish() {
+    const IniSection Whole{"note", "", 0, {}};
+    if (Result_.Id_.empty())
+      add(Whole, 0, "id", "a name for the note; the key is missing");
+    if (Result_.DeadlineUnixMs_ == 0)
+      add(Whole, 0, "by", "a time, or within = DURATION");
+    if (Result_.Changes_.empty())
+      add(Whole, 0, "", "a section [change MODEL]");
+    if (!Mistakes_.empty())
+      return tl::unexpected(std::move(Mistakes_));
+    return std::move(Result_);
+  }
+
+private:
+  void add(const IniSection &Section, int Line, std::string_view Key,
+           std::string Expected) {
+    const std::string Name = Section.Name_.empty()
+                                 ? Section.Kind_
+                                 : Section.Kind_ + " " + Section.Name_;
+    Mistakes_.push_back(
+        {File_, Line, Name, std::string(Key), std::move(Expected)});
+  }
+
+  void readHead(const IniSection &Section) {
+    for (const auto &Entry : Section.Entries_) {
+      if (Entry.Key_ == "id") {
+        Result_.Id_ = Entry.Value_;
+      } else if (Entry.Key_ == "by") {
+        Result_.DeadlineUnixMs_ = parseUtc(Entry.Value_);
+        if (Result_.DeadlineUnixMs_ < 0)
+          add(Section, Entry.Line_, Entry.Key_,
+              "a UTC time such as 2027-03-01T06:00:00Z");
+      } else if (Entry.Key_ == "within") {
+        const auto Span = parseDuration(Entry.Value_);
+        if (Span)
+          Result_.DeadlineUnixMs_ = unixNow() + *Span;
+        else
+          add(Section, Entry.Line_, Entry.Key_, "a duration such as 10m");
+      } else {
+        add(Section, Entry.Line_, Entry.Key_,
+            fmt::format("a known key; nearest: {}",
+                        nearestWord(Entry.Key_, {"id", "by", "within"})));
+      }
+    }
+  }
+
+  void readChange(const IniSection &Section) {
+    VersionChange Change{Section.Name_, ""};
+    for (const auto &Entry : Section.Entries_) {
+      if (Entry.Key_ == "to")
+        Change.To_ = Entry.Value_;
+      else
+        add(Section, Entry.Line_, Entry.Key_, "a known key; nearest: to");
+    }
+    if (Change.Model_.empty())
+      add(Section, Section.Line_, "", "a model: [change MODEL]");
+    if (Change.To_.empty())
+      add(Section, Section.Line_, "to", "the new version");
+    Result_.Changes_.push_back(Change);
+  }
+
+  std::string File_;
+  NoteRecord Result_;
+  FileMistakes Mistakes_;
+};
+
+} // namespace
+
+tl::expected<NoteRecord, FileMistakes> parseNote(std::string_view Text,
+                                                 std::string_view File) {
+  auto Sections = parseIni(Text, File);
+  if (!Sections)
+    return tl::unexpected(Sections.error());
+  NoteReader Reader(File);
+  for (const IniSection &Section : *Sections)
+    Reader.read(Section);
+  return Reader.finish();
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/platform.cpp
@@ -0,0 +1,222 @@
+// Log service, host list, cloud API, probes and orders over HTTP and JSON.
+#include "platform.h"
+
+#include "codec.h"
+
+#include <fmt/format.h>
+#include <nlohmann/json.hpp>
+
+namespace endivewharf {
+
+namespace {
+
+using Json = nlohmann::json;
+
+constexpr Millis LogWait = 1000;           // ms that a read waits for records
+constexpr Millis LogLimit = 2500;          // ms for one exchange with the log
+constexpr Millis HostListLimit = 2000;     // ms
+constexpr Millis ProbeLimit = 1000;        // ms
+constexpr Millis OrderLimit = 2000;        // ms
+constexpr int LogPage = 500;               // records a read
+constexpr std::size_t MaxReply = 16 << 20; // bytes of any platform reply
+
+/// Collects a whole body, then calls `Done` with it.
+void fetch(HttpClient &Client, HttpRequest Request,
+           std::function<void(const HttpResult &, const std::string &)> Done) {
+  auto Body = std::make_shared<std::string>();
+  Client.start(
+      std::move(Request),
+      [Body](int, std::string_view Bytes) {
+        Body->append(Bytes);
+        return Body->size() <= MaxReply;
+      },
+      [Body, Done = std::move(Done)](const HttpResult &Result) {
+        Done(Result, *Body);
+      });
+}
+
+bool isOk(const HttpResult &Result) {
+  return Result.End_ == TransferEnd::Complete && Result.Status_ == 200;
+}
+
+HostRow hostOf(const Json &Item) {
+  HostRow Row;
+  Row.Host_.Name_ = Item.at("name").get<std::string>();
+  Row.Host_.Incarnation_ = Item.at("incarnation").get<std::uint64_t>();
+  Row.Address_ = Item.at("address").get<std::string>();
+  Row.DataCentre_ = Item.value("data_centre", "");
+  Row.Zone_ = Item.value("zone", "");
+  Row.Service_ = Item.value("service", "");
+  Row.Kind_ =
+      Row.Service_.empty() ? UpstreamKind::Model : UpstreamKind::Service;
+  Row.Leaving_ = Item.value("leaving", false);
+  Row.Reclaimable_ = Item.value("reclaimable", false);
+  Row.ChecksEpoch_ = Item.value("checks_epoch", false);
+  Row.Price_ = Item.value("price", 1.0);
+  return Row;
+}
+
+ProbeEnded probeOf(const Life &Host, const std::string &Text) {
+  ProbeEnded Result;
+  Result.Host_ = Host;
+  const Json Body = Json::parse(Text, nullptr, false);
+  if (!Body.is_object())
+    return Result;
+  try {
+    Result.Leaving_ = Body.value("leaving", false);
+    Result.Running_ = Body.value("running", 0);
+    Result.Waiting_ = Body.value("waiting", 0);
+    Result.Slots_ = Body.value("slots", 0);
+    for (const Json &Item : Body.value("loaded", Json::array()))
+      Result.Loaded_.push_back({Item.at("model").get<std::string>(),
+                                Item.at("version").get<std::string>()});
+    Result.Reached_ = true;
+  } catch (const Json::exception &) {
+    Result.Loaded_.clear();
+  }
+  return Result;
+}
+
+} // namespace
+
+std::optional<std::vector<HostRow>> parseHosts(std::string_view Text) {
+  const Json Body = Json::parse(Text, nullptr, false);
+  if (!Body.is_object())
+    return std::nullopt;
+  try {
+    std::vector<HostRow> Rows;
+    for (const Json &Item : Body.at("hosts"))
+      Rows.push_back(hostOf(Item));
+    return Rows;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+std::optional<LogRead> parseLogPage(std::string_view Text) {
+  const Json Body = Json::parse(Text, nullptr, false);
+  if (!Body.is_object())
+    return std::nullopt;
+  try {
+    LogRead Page;
+    Page.Earliest_ = Body.at("earliest").get<LogOffset>();
+    Page.Next_ = Body.at("next").get<LogOffset>();
+    Page.AtTail_ = Body.value("at_tail", false);
+    for (const Json &Item : Body.at("records")) {
+      LogEntry Entry;
+      Entry.Offset_ = Item.at("offset").get<LogOffset>();
+      auto Record = decodeRecord(Item.at("body").get<std::string>());
+      if (Record)
+        Entry.Record_ = std::move(*Record);
+      Page.Entries_.push_back(std::move(Entry));
+    }
+    return Page;
+  } catch (const Json::exception &) {
+    return std::nullopt;
+  }
+}
+
+void PlatformClient::readLog(const ReadLog &E) {
+  HttpRequest Request;
+  Request.Url_ = fmt::format("{}/read?from={}&max={}&wait_ms={}",
+                             Settings_.LogUrl_, E.From_, LogPage, LogWait);
+  Request.TotalLimit_ = LogLimit;
+  Request.Fresh_ = FreshLog_;
+  fetch(Client_, std::move(Request),
+        [this](const HttpResult &Result, const std::string &Body) {
+          FreshLog_ = Result.End_ != TransferEnd::Complete;
+          auto Page = isOk(Result) ? parseLogPage(Body) : std::nullopt;
+          if (Page)
+            Sink_(std::move(*Page));
+          else
+            Sink_(LogReadFailed{});
+        });
+}
+
+void PlatformClient::append(const AppendToLog &E) {
+  Json Records = Json::array();
+  for (const LogRecord &Record : E.Records_)
+    Records.push_back(encodeRecord(Record));
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = fmt::format("{}/append", Settings_.LogUrl_);
+  Request.Headers_ = {"Content-Type: application/json"};
+  Request.Body_ = Json{{"records", Records}}.dump();
+  Request.TotalLimit_ = LogLimit;
+  Request.Fresh_ = FreshLog_;
+  fetch(Client_, std::move(Request),
+        [this, Id = E.Append_](const HttpResult &Result, const std::string &) {
+          Sink_(AppendEnded{Id, isOk(Result)});
+        });
+}
+
+void PlatformClient::readHosts() {
+  HttpRequest Request;
+  Request.Url_ = fmt::format("{}/hosts", Settings_.HostListUrl_);
+  Request.TotalLimit_ = HostListLimit;
+  fetch(Client_, std::move(Request),
+        [this](const HttpResult &Result, const std::string &Body) {
+          auto Rows = isOk(Result) ? parseHosts(Body) : std::nullopt;
+          if (Rows)
+            Sink_(HostsRead{std::move(*Rows)});
+        });
+}
+
+void PlatformClient::readNotices() {
+  HttpRequest Request;
+  Request.Url_ =
+      fmt::format("{}/notices?after={}", Settings_.CloudUrl_, NoticesSeen_);
+  Request.TotalLimit_ = HostListLimit;
+  fetch(Client_, std::move(Request),
+        [this](const HttpResult &Result, const std::string &Body) {
+          const Json Page = Json::parse(Body, nullptr, false);
+          if (!isOk(Result) || !Page.is_object())
+            return;
+          try {
+            NoticesRead Read;
+            for (const Json &Item : Page.at("notices"))
+              Read.Notices_.push_back(
+                  {{Item.at("name").get<std::string>(),
+                    Item.at("incarnation").get<std::uint64_t>()},
+                   Item.value("time_left_ms", Millis{2000})});
+            NoticesSeen_ = Page.at("next").get<std::int64_t>();
+            if (!Read.Notices_.empty())
+              Sink_(std::move(Read));
+          } catch (const Json::exception &) {
+            return; // read again in a moment
+          }
+        });
+}
+
+void PlatformClient::probe(const ProbeUpstream &E) {
+  HttpRequest Request;
+  Request.Url_ = fmt::format("{}/health", E.Address_);
+  Request.TotalLimit_ = ProbeLimit;
+  fetch(Client_, std::move(Request),
+        [this, Host = E.Host_](const HttpResult &Result,
+                               const std::string &Body) {
+          if (isOk(Result))
+            Sink_(probeOf(Host, Body));
+          else
+            Sink_(ProbeEnded{Host, false, false, 0, 0, 0, {}});
+        });
+}
+
+void PlatformClient::order(const OrderLoad &E) {
+  HttpRequest Request;
+  Request.Method_ = "POST";
+  Request.Url_ = fmt::format("{}/orders", E.Address_);
+  Request.Headers_ = {"Content-Type: application/json"};
+  Request.Body_ = Json{
+      {"action", "load"},
+      {"epoch", E.Epoch_},
+      {"model", E.Model_},
+      {"version",
+       E.Version_}}.dump();
+  Request.TotalLimit_ = OrderLimit;
+  // What the engine made of it shows in its next report.
+  fetch(Client_, std::move(Request),
+        [](const HttpResult &, const std::string &) {});
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/release.h
@@ -0,0 +1,53 @@
+// Moves of models to new versions: the share each process gives the new one,
+// the evidence, the verdict, and the holder's plan to the note's time.
+#pragma once
+
+#include "state.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endivewharf {
+
+enum class VerdictKind { Undecided, Good, Bad };
+
+struct Verdict {
+  VerdictKind Kind_ = VerdictKind::Undecided;
+  double BadScore_ = 0; ///< Largest log likelihood ratio for "bad".
+  std::string Reason_;
+};
+
+void applyNote(State &S, LogOffset Offset, const NoteRecord &R, Effects &Out);
+void applyShare(State &S, const ShareRecord &R, Effects &Out);
+
+/// Takes a move back for good; anybody's verdict is enough.
+void markBad(State &S, const BadVersionFact &Fact, Effects &Out);
+
+void adoptMoves(State &S, LogOffset NoteVersion,
+                const std::vector<MoveRow> &Rows, Effects &Out);
+
+/// @return true if the next attempt goes to the new version
+bool isNewVersionDue(const State &S, const Move &M);
+
+/// Books an attempt, so that the share holds at every moment.
+void noteVersionChosen(State &S, const std::string &Model, bool New);
+
+/// Books a finished attempt as evidence for or against a version.
+void noteEvidence(State &S, const Attempt &A, const Call &C, bool Failed,
+                  Effects &Out);
+
+/// Takes over evidence rows of other processes; the larger one is the newer.
+void mergeEvidence(State &S, const std::vector<EvidenceRow> &Rows);
+
+/// Sequential test over all evidence of a move.
+/// @param S state with the evidence
+/// @param M the move
+/// @return bad with its reason, good, or undecided
+Verdict judge(const State &S, const Move &M);
+
+/// Judges, spreads evidence and, with the lease, raises shares and orders
+/// loads.
+void tickRelease(State &S, Effects &Out);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/settings.cpp
@@ -0,0 +1,281 @@
+// Reads a settings file by a table of known keys and checks it as a whole.
+#include "settings.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <fstream>
+#include <functional>
+#include <map>
+#include <sstream>
+
+namespace endivewharf {
+
+namespace {
+
+/// How one key is read: stores the value, or returns what was expected.
+using KeyReader =
+    std::function<std::string(Settings &, std::string_view Value)>;
+
+struct KeyRule {
+  std::string Section_;
+  std::string Key_;
+  std::string Meaning_;
+  KeyReader Read_;
+};
+
+KeyReader text(std::string Settings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    if (Value.empty())
+      return "a text that is not empty";
+    Target.*Field = std::string(Value);
+    return {};
+  };
+}
+
+KeyReader address(SocketAddress Settings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    const auto Parsed = parseAddress(Value);
+    if (!Parsed)
+      return "an IP number and port, such as 127.0.0.1:8080";
+    Target.*Field = *Parsed;
+    return {};
+  };
+}
+
+KeyReader duration(Millis LimitSettings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    const auto Parsed = parseDuration(Value);
+    if (!Parsed || *Parsed == 0)
+      return "a duration above 0, such as 250ms, 3s or 2m";
+    Target.Limits_.*Field = *Parsed;
+    return {};
+  };
+}
+
+KeyReader size(std::int64_t LimitSettings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    const auto Parsed = parseSize(Value);
+    if (!Parsed || *Parsed == 0)
+      return "a size above 0, such as 512KiB or 32MiB";
+    Target.Limits_.*Field = *Parsed;
+    return {};
+  };
+}
+
+KeyReader count(int LimitSettings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    int Number = 0;
+    const auto *End = Value.data() + Value.size();
+    const auto Result = std::from_chars(Value.data(), End, Number);
+    if (Result.ec != std::errc() || Result.ptr != End || Number <= 0)
+      return "a whole number above 0";
+    Target.Limits_.*Field = Number;
+    return {};
+  };
+}
+
+const std::vector<KeyRule> &rules() {
+  using L = LimitSettings;
+  static const std::vector<KeyRule> Rules = {
+      {"entry", "name", "name of this process, unique among its peers",
+       text(&Settings::Name_)},
+      {"entry", "data_centre", "data centre of this host",
+       text(&Settings::DataCentre_)},
+      {"entry", "zone", "zone of this host", text(&Settings::Zone_)},
+      {"entry", "listen", "address for callers", address(&Settings::Listen_)},
+      {"entry", "operator_listen", "address for /dump and /metrics",
+       address(&Settings::OperatorListen_)},
+      {"entry", "peer_listen", "address for other entry processes",
+       address(&Settings::PeerListen_)},
+      {"platform", "log", "URL of the log service", text(&Settings::LogUrl_)},
+      {"platform", "hosts", "URL of the host list",
+       text(&Settings::HostListUrl_)},
+      {"platform", "cloud", "URL of the cloud API", text(&Settings::CloudUrl_)},
+      {"limits", "progress", "longest silence within a stream",
+       duration(&L::ProgressLimit_)},
+      {"limits", "first_token", "longest wait for a first token",
+       duration(&L::FirstTokenLimit_)},
+      {"limits", "service", "longest wait for a plain service",
+       duration(&L::ServiceLimit_)},
+      {"limits", "time_limit", "time limit of a request that names none",
+       duration(&L::DefaultTimeLimit_)},
+      {"limits", "drain", "longest planned stop", duration(&L::DrainLimit_)},
+      {"limits", "lease", "length of the control lease",
+       duration(&L::LeaseTime_)},
+      {"limits", "key_window", "how long an idempotency key is remembered",
+       duration(&L::KeyWindow_)},
+      {"limits", "max_body", "largest request body", size(&L::MaxBody_)},
+      {"limits", "max_answer", "largest answer of an upstream",
+       size(&L::MaxAnswer_)},
+      {"limits", "queue", "requests waiting for an upstream",
+       count(&L::QueueLength_)},
+      {"limits", "upstream_slots", "first guess of an upstream's concurrency",
+       count(&L::UpstreamSlots_)},
+  };
+  return Rules;
+}
+
+const std::vector<std::string> PeerKeys = {"address", "data_centre", "zone"};
+
+std::vector<std::string> keysOf(std::string_view Section) {
+  std::vector<std::string> Keys;
+  for (const KeyRule &Rule : rules())
+    if (Rule.Section_ == Section)
+      Keys.push_back(Rule.Key_);
+  return Keys;
+}
+
+} // namespace
+
+SettingsBuilder &SettingsBuilder::addText(std::string_view Text) {
+  auto Sections = parseIni(Text, File_);
+  if (!Sections) {
+    Mistakes_.insert(Mistakes_.end(), Sections.error().begin(),
+                     Sections.error().end());
+    return *this;
+  }
+  for (const IniSection &Section : *Sections)
+    addSection(Section);
+  return *this;
+}
+
+void SettingsBuilder::addMistake(const IniSection &Section, int Line,
+                                 std::string_view Key, std::string Expected) {
+  const std::string Name = Section.Name_.empty()
+                               ? Section.Kind_
+                               : Section.Kind_ + " " + Section.Name_;
+  Mistakes_.push_back(
+      {File_, Line, Name, std::string(Key), std::move(Expected)});
+}
+
+void SettingsBuilder::addSection(const IniSection &Section) {
+  if (Section.Kind_ == "peer") {
+    PeerSettings Peer;
+    Peer.Name_ = Section.Name_;
+    for (const auto &Entry : Section.Entries_) {
+      if (Entry.Key_ == "data_centre")
+        Peer.DataCentre_ = Entry.Value_;
+      else if (Entry.Key_ == "zone")
+        Peer.Zone_ = Entry.Value_;
+      else if (Entry.Key_ != "address")
+        addMistake(Section, Entry.Line_, Entry.Key_,
+                   fmt::format("a known key; nearest: {}",
+                               nearestWord(Entry.Key_, PeerKeys)));
+      else if (const auto Parsed = parseAddress(Entry.Value_))
+        Peer.Address_ = *Parsed;
+      else
+        addMistake(Section, Entry.Line_, Entry.Key_,
+                   "an IP number and port, such as 127.0.0.1:8080");
+    }
+    Result_.Peers_.push_back(Peer);
+    return;
+  }
+  const std::vector<std::string> Known = keysOf(Section.Kind_);
+  if (Known.empty()) {
+    addMistake(Section, Section.Line_, "",
+               fmt::format("a known section; nearest: {}",
+                           nearestWord(Section.Kind_, {"entry", "platform",
+                                                       "limits", "peer"})));
+    return;
+  }
+  for (const auto &Entry : Section.Entries_) {
+    const auto Rule =
+        std::find_if(rules().begin(), rules().end(), [&](const KeyRule &R) {
+          return R.Section_ == Section.Kind_ && R.Key_ == Entry.Key_;
+        });
+    if (Rule == rules().end()) {
+      addMistake(Section, Entry.Line_, Entry.Key_,
+                 fmt::format("a known key; nearest: {}",
+                             nearestWord(Entry.Key_, Known)));
+      continue;
+    }
+    std::string Expected = Rule->Read_(Result_, Entry.Value_);
+    if (!Expected.empty())
+      addMistake(Section, Entry.Line_, Entry.Key_, std::move(Expected));
+  }
+}
+
+void SettingsBuilder::checkTogether() {
+  const IniSection Whole{"entry", "", 0, {}};
+  const std::map<std::string, std::string> Required = {
+      {"name", Result_.Name_},
+      {"data_centre", Result_.DataCentre_},
+      {"zone", Result_.Zone_}};
+  for (const auto &[Key, Value] : Required)
+    if (Value.empty())
+      addMistake(Whole, 0, Key, "a value; the key is missing");
+  std::map<std::string, std::string> Users;
+  const auto Claim = [&](const SocketAddress &Address, std::string User) {
+    if (Address.Port_ == 0)
+      addMistake(Whole, 0, User, "an address; the key is missing");
+    else if (!Users.emplace(format(Address), User).second)
+      addMistake(Whole, 0, User,
+                 fmt::format("an address of its own; {} is that of {}",
+                             format(Address), Users[format(Address)]));
+  };
+  Claim(Result_.Listen_, "listen");
+  Claim(Result_.OperatorListen_, "operator_listen");
+  Claim(Result_.PeerListen_, "peer_listen");
+  for (const PeerSettings &Peer : Result_.Peers_) {
+    const IniSection Section{"peer", Peer.Name_, 0, {}};
+    if (Peer.Name_ == Result_.Name_ || Peer.Name_.empty())
+      addMistake(Section, 0, "", "a name that is not this process's");
+    if (Peer.DataCentre_.empty())
+      addMistake(Section, 0, "data_centre", "a value; the key is missing");
+    Claim(Peer.Address_, "peer " + Peer.Name_);
+  }
+  const std::map<std::string, std::string> Urls = {
+      {"log", Result_.LogUrl_}, {"hosts", Result_.HostListUrl_}};
+  const IniSection Platform{"platform", "", 0, {}};
+  for (const auto &[Key, Value] : Urls)
+    if (Value.rfind("http", 0) != 0)
+      addMistake(Platform, 0, Key, "a URL that starts with http");
+}
+
+tl::expected<Settings, FileMistakes> SettingsBuilder::build() {
+  checkTogether();
+  if (!Mistakes_.empty())
+    return tl::unexpected(std::move(Mistakes_));
+  return std::move(Result_);
+}
+
+tl::expected<Settings, FileMistakes> readSettings(const std::string &Path) {
+  std::ifstream Stream(Path);
+  if (!Stream)
+    return tl::unexpected(
+        FileMistakes{{Path, 0, "", "", "a file that can be read"}});
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return SettingsBuilder(Path).addText(Text.str()).build();
+}
+
+std::vector<SettingsKey> settingsReference() {
+  std::vector<SettingsKey> Rows;
+  for (const KeyRule &Rule : rules())
+    Rows.push_back({Rule.Section_, Rule.Key_, Rule.Meaning_});
+  return Rows;
+}
+
+tl::expected<SocketAddress, std::monostate>
+parseAddress(std::string_view Text) {
+  const auto Colon = Text.rfind(':');
+  if (Colon == std::string_view::npos || Colon == 0)
+    return tl::unexpected(std::monostate{});
+  const std::string_view Ip = Text.substr(0, Colon);
+  if (Ip.find_first_not_of("0123456789.:[]abcdefABCDEF") !=
+      std::string_view::npos)
+    return tl::unexpected(std::monostate{});
+  int Port = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Result = std::from_chars(Text.data() + Colon + 1, End, Port);
+  if (Result.ec != std::errc() || Result.ptr != End || Port < 1 || Port > 65535)
+    return tl::unexpected(std::monostate{});
+  return SocketAddress{std::string(Ip), Port};
+}
+
+std::string format(const SocketAddress &Address) {
+  return fmt::format("{}:{}", Address.Ip_, Address.Port_);
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/settings.h
@@ -0,0 +1,99 @@
+// Settings of one process: its name, addresses, peers, platform services and
+// limits. Read once at the start from an INI file.
+#pragma once
+
+#include "config.h"
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace endivewharf {
+
+/// A TCP address by IP number.
+struct SocketAddress {
+  std::string Ip_;
+  int Port_ = 0;
+};
+
+/// Another entry process.
+struct PeerSettings {
+  std::string Name_;
+  SocketAddress Address_;
+  std::string DataCentre_;
+  std::string Zone_;
+};
+
+/// Time and space limits; all have defaults.
+struct LimitSettings {
+  Millis ProgressLimit_ = 2000;    ///< Longest silence within a stream.
+  Millis FirstTokenLimit_ = 10000; ///< Longest wait for a first token.
+  Millis ServiceLimit_ = 5000;     ///< Longest wait for a plain service.
+  Millis DefaultTimeLimit_ = 60000;
+  Millis DrainLimit_ = 30000; ///< Longest planned stop.
+  Millis LeaseTime_ = 3000;
+  Millis KeyWindow_ = 3600000; ///< How long an idempotency key is remembered.
+  std::int64_t MaxBody_ = 4 << 20;
+  std::int64_t MaxAnswer_ = 4 << 20;
+  int QueueLength_ = 2000; ///< Requests waiting for an upstream.
+  int UpstreamSlots_ = 16; ///< First guess of an upstream's concurrency.
+};
+
+struct Settings {
+  std::string Name_;
+  std::string DataCentre_;
+  std::string Zone_;
+  SocketAddress Listen_;
+  SocketAddress OperatorListen_;
+  SocketAddress PeerListen_;
+  std::vector<PeerSettings> Peers_;
+  std::string LogUrl_;
+  std::string HostListUrl_;
+  std::string CloudUrl_;
+  LimitSettings Limits_;
+};
+
+/// Builds settings section by section and collects every mistake.
+class SettingsBuilder {
+public:
+  explicit SettingsBuilder(std::string_view File) : File_(File) {}
+
+  /// Adds all sections of an INI text.
+  SettingsBuilder &addText(std::string_view Text);
+
+  /// Checks what sections must hold together.
+  /// @return the settings, or every mistake found
+  tl::expected<Settings, FileMistakes> build();
+
+private:
+  void addSection(const IniSection &Section);
+  void addMistake(const IniSection &Section, int Line, std::string_view Key,
+                  std::string Expected);
+  void checkTogether();
+
+  std::string File_;
+  Settings Result_;
+  FileMistakes Mistakes_;
+};
+
+/// Reads and checks a settings file.
+/// @param Path file to read
+/// @return the settings, or every mistake found
+tl::expected<Settings, FileMistakes> readSettings(const std::string &Path);
+
+/// One row of the settings reference.
+struct SettingsKey {
+  std::string Section_;
+  std::string Key_;
+  std::string Meaning_;
+};
+
+/// All keys that a settings file may hold, for help and docs.
+std::vector<SettingsKey> settingsReference();
+
+/// Reads `127.0.0.1:8080`.
+tl::expected<SocketAddress, std::monostate> parseAddress(std::string_view Text);
+
+std::string format(const SocketAddress &Address);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/state.h
@@ -0,0 +1,326 @@
+// The whole state of one entry process, as plain data. Only reduce() and the
+// modules that it calls change it.
+#pragma once
+
+#include "config.h"
+#include "effect.h"
+#include "event.h"
+
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace endivewharf {
+
+//===-- Upstreams
+//----------------------------------------------------------===//
+
+/// One life of an upstream host.
+struct Upstream {
+  HostRow Row_;
+  bool Leaving_ = false; ///< Never unset: a new life is a new upstream.
+  bool Listed_ = true;   ///< Still on the host list.
+  std::set<LoadedVersion> Loaded_;
+  int InFlight_ = 0;  ///< Attempts of this process.
+  int Waiting_ = 0;   ///< Queue that the upstream reports.
+  double Limit_ = 16; ///< Adaptive concurrency limit of this process.
+  int FailuresInRow_ = 0;
+  Millis AvoidUntil_ = 0;
+  Millis ProbedAt_ = 0;
+  bool Probing_ = false;
+  Millis OrderedAt_ = 0;     ///< Last order to load a version.
+  double FirstTokenMs_ = 50; ///< Moving average, with an empty cache.
+};
+
+/// Upstreams that serve one model version or service, with a hash ring.
+struct Pool {
+  std::vector<int> Members_;
+  std::vector<std::pair<std::uint64_t, int>> Ring_; ///< Sorted by hash.
+};
+
+/// Lowest expected first-token time plus price among a few candidates.
+struct CostPolicy {};
+/// Each upstream in turn (baseline).
+struct RoundRobinPolicy {
+  std::size_t Next_ = 0;
+};
+/// Fewest attempts in flight (baseline).
+struct LeastInFlightPolicy {};
+/// The less busy one of two at random (baseline).
+struct TwoChoicesPolicy {};
+/// By the hash of the prompt's first block (baseline).
+struct PrefixHashPolicy {};
+
+using RoutePolicy =
+    std::variant<CostPolicy, RoundRobinPolicy, LeastInFlightPolicy,
+                 TwoChoicesPolicy, PrefixHashPolicy>;
+
+//===-- Calls
+//--------------------------------------------------------------===//
+
+enum class CallPhase {
+  Queued,      ///< Waits for an upstream.
+  Claiming,    ///< Waits for its claim to be read in the log.
+  Running,     ///< Has an attempt.
+  AwaitingKey, ///< Waits for the outcome of another call with the same key.
+  Finding,     ///< Waits for a peer to send the call's record.
+  MovingOut,   ///< Frozen until a peer acknowledges the record.
+  Finished
+};
+
+/// One caller's request from acceptance to the answer.
+struct Call {
+  CallId Id_ = 0;
+  CallRequest Request_;
+  std::string RequestId_;
+  std::string Account_; ///< Name; empty for none.
+  CallPhase Phase_ = CallPhase::Queued;
+  Millis ArrivedAt_ = 0;
+  Millis Deadline_ = 0;
+  bool CallerPresent_ = true;
+  bool StreamStarted_ = false;
+
+  std::string Text_;                   ///< Generated so far.
+  std::int64_t NextIndex_ = 0;         ///< Next token to come from an upstream.
+  std::int64_t SendFrom_ = 0;          ///< First token that this caller lacks.
+  std::vector<std::size_t> TokenEnds_; ///< End of each token within Text_.
+  std::string FinishReason_;
+  std::int64_t PromptTokens_ = 0;
+  Millis FinishedAt_ = 0;
+
+  AttemptId Attempt_ = 0; ///< 0: none.
+  int Attempts_ = 0;
+  std::set<int> TriedUpstreams_;
+  bool AvoidNewVersion_ = false; ///< The new version has failed this call.
+  bool FreshConnection_ = false;
+  int Uncertain_ = 0; ///< Attempts that an upstream may have acted on.
+
+  std::string ClaimId_;
+  std::uint64_t Fingerprint_ = 0;
+
+  std::vector<std::uint64_t> Blocks_; ///< Hashes of the prompt's prefixes.
+  int PeersAsked_ = 0;
+  Millis MovedAt_ = 0;
+};
+
+/// One try at one upstream.
+struct Attempt {
+  CallId Call_ = 0;
+  int Upstream_ = -1;
+  std::string Version_;
+  bool NewVersion_ = false;
+  LogOffset Note_ = NoOffset;
+  Millis StartedAt_ = 0;
+  Millis FirstTokenAt_ = 0;
+  Millis LastProgressAt_ = 0;
+};
+
+//===-- Admission
+//-----------------------------------------------------------===//
+
+/// Calls of one account that wait, and its long-term rate.
+struct AccountState {
+  std::deque<CallId> Queues_[2]; ///< By priority.
+  double Served_ = 0;  ///< Work served, divided by the account's weight.
+  double Tokens_ = -1; ///< Rate limit's bucket; -1: not yet filled.
+  Millis FilledAt_ = 0;
+  int InFlight_ = 0;
+};
+
+struct AdmissionState {
+  std::map<std::string, AccountState> Accounts_;
+  int Waiting_[2] = {0, 0}; ///< By priority.
+  int SinceBatch_ = 0; ///< Interactive calls served since the last batch call.
+  double DrainPerSecond_ = 20; ///< Moving average of finished calls.
+  int FinishedInWindow_ = 0;
+  Millis WindowStart_ = 0;
+  double RetryBudget_ = 10;
+};
+
+//===-- Control plane
+//--------------------------------------------------------===//
+
+struct LogState {
+  LogOffset Next_ = 0;
+  bool Reading_ = false;
+  Millis ReadStartedAt_ = 0;
+  Millis FreshAt_ = -1; ///< Start of the last read that reached the tail.
+  bool Available_ = false;
+  Millis RetryAt_ = 0;
+  bool SawTail_ = false;
+  LogOffset ReadThrough_ = NoOffset;
+  std::vector<LogRecord> Outbox_; ///< Records to append.
+  std::uint64_t NextAppend_ = 1;
+  std::uint64_t PendingAppend_ = 0;
+  std::vector<LogRecord> Pending_; ///< Records in the append under way.
+};
+
+struct ConfigState {
+  LogOffset Version_ = NoOffset;
+  std::string Text_;
+  Configuration Value_;
+  std::map<LogOffset, std::string> Rejected_; ///< Why, for the operator.
+};
+
+/// How far the control records have been applied.
+struct ControlState {
+  LogOffset Version_ = NoOffset; ///< Last control record applied.
+  bool Baseless_ = false; ///< The log's start has expired: wait for a snapshot.
+  std::vector<std::pair<LogOffset, LogRecord>> Unjudged_; ///< Until then.
+  Millis BaselessSince_ = 0;
+  Millis SnapshotAt_ = 0;
+};
+
+struct LeaseState {
+  Life Holder_;
+  LogOffset Epoch_ = NoOffset;
+  LogOffset LastRecord_ = NoOffset;
+  Millis ReadAt_ = 0; ///< When this process read the last record.
+  Millis Length_ = 0;
+  bool Released_ = false;
+  Millis SentAt_ = 0;       ///< When this process sent its last record.
+  std::uint64_t Nonce_ = 0; ///< Of that record; 0: none under way.
+  Millis HeldUntil_ = 0;    ///< This process's own bound; 0: not the holder.
+};
+
+enum class KeyStatus { Claimed, Done };
+
+struct KeyState {
+  KeyStatus Status_ = KeyStatus::Claimed;
+  ClaimRecord Claim_;
+  ClaimDoneRecord Outcome_;
+  Millis ReadAt_ = 0;
+};
+
+struct ClaimState {
+  std::unordered_map<std::string, KeyState> Keys_;
+  std::deque<std::pair<Millis, std::string>> Order_; ///< For expiry.
+  std::uint64_t NextClaim_ = 1;
+  std::unordered_map<std::string, CallId> Waiting_; ///< By claim ID.
+  Millis BlindUntil_ = 0; ///< Records were lost to retention before this.
+};
+
+/// Move of one model to a new version.
+struct Move {
+  MoveRow Row_;
+  Millis StartedAt_ = 0;
+  Millis ShareSince_ = 0;
+  double Credit_ = 0; ///< Requests for the new version that are due.
+  std::int64_t NewAttempts_ = 0;
+  bool LateReported_ = false;
+  bool DoneReported_ = false;
+  double PendingShare_ = -1; ///< Share asked for and not yet in the log.
+  Millis PendingSince_ = 0;
+};
+
+struct ReleaseState {
+  LogOffset NoteVersion_ = NoOffset;
+  std::map<std::string, Move> Moves_; ///< By model.
+  std::map<LogOffset, std::string> RejectedNotes_;
+  /// By note, model, version, route, data centre and observer.
+  std::map<std::string, EvidenceRow> Evidence_;
+  std::map<std::pair<LogOffset, std::string>, BadVersionFact> Bad_;
+  Millis EvidenceSentAt_ = 0;
+  bool EvidenceChanged_ = false;
+};
+
+//===-- Membership
+//-----------------------------------------------------------===//
+
+struct Member {
+  MemberRow Row_;
+  Millis AdvancedAt_ = 0; ///< When the heartbeat last grew.
+  std::uint64_t SequenceSent_ = 0;
+  std::uint64_t SequenceSeen_ = 0;
+  std::uint64_t Acknowledged_ = 0;
+  std::uint64_t LinkSince_ = 0; ///< Sequence at the link's last replacement.
+  bool Alive_ = false;
+};
+
+struct MembershipState {
+  std::map<std::string, Member> Members_; ///< By name.
+  std::uint64_t Heartbeat_ = 0;
+  Millis DigestAt_ = 0;
+};
+
+//===-- The process
+//------------------------------------------------------------===//
+
+/// One decision with its reason, for those who ask later.
+struct Decision {
+  Millis At_ = 0;
+  std::string Subject_; ///< Request, upstream, model or process.
+  std::string Text_;
+};
+
+struct Counters {
+  std::map<std::string, std::int64_t> Values_;
+};
+
+/// Recently finished or handed-over completions that a caller may ask for.
+struct HeldCalls {
+  std::map<std::string, CallRecord> ById_;
+  std::deque<std::pair<Millis, std::string>> Order_;
+};
+
+enum class Stage { Starting, Serving, Draining, Leaving, Stopped };
+
+struct State {
+  Settings Settings_;
+  Life Self_;
+  Millis Now_ = 0;
+  std::int64_t UnixMs_ = 0;
+  std::uint64_t Random_ = 1;
+  Stage Stage_ = Stage::Starting;
+  Millis StartedAt_ = -1;
+  Millis StopDeadline_ = 0;
+  Millis StopStartedAt_ = 0;
+  bool ListenerClosed_ = false;
+
+  std::vector<Upstream> Upstreams_; ///< Never shrinks; indices stay valid.
+  std::map<Life, int> UpstreamByLife_;
+  std::unordered_map<std::string, Pool> Pools_; ///< See router.h.
+  bool PoolsChanged_ = true;
+  RoutePolicy Policy_;
+  std::unordered_map<std::uint64_t, std::vector<int>> PrefixHolders_;
+  std::deque<std::uint64_t> PrefixOrder_;
+  std::map<std::string, LeavingFact> Leaving_; ///< By `name/incarnation`.
+
+  std::unordered_map<CallId, Call> Calls_;
+  std::unordered_map<std::string, CallId> CallByRequestId_;
+  std::unordered_map<AttemptId, Attempt> Attempts_;
+  AttemptId NextAttempt_ = 1;
+  std::uint64_t NextRequest_ = 1;
+  HeldCalls Held_;
+
+  AdmissionState Admission_;
+  LogState Log_;
+  ConfigState Config_;
+  ControlState Control_;
+  LeaseState Lease_;
+  ClaimState Claims_;
+  ReleaseState Release_;
+  MembershipState Membership_;
+  std::deque<Decision> Decisions_;
+  Counters Counters_;
+  Millis HostsReadAt_ = -1;
+  Millis NoticesReadAt_ = -1;
+  bool Ready_ = false;
+};
+
+/// Adds to a counter that metrics show.
+inline void count(State &S, const char *Name, std::int64_t Amount = 1) {
+  S.Counters_.Values_[Name] += Amount;
+}
+
+/// Keeps a decision for `dump`.
+void remember(State &S, std::string Subject, std::string Text);
+
+/// Next number of the process's deterministic random sequence.
+std::uint64_t nextRandom(State &S);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/types.cpp
@@ -0,0 +1,84 @@
+// Names of the enumerations, as they stand in logs, JSON and metrics.
+#include "types.h"
+
+#include <array>
+#include <utility>
+
+namespace endivewharf {
+
+namespace {
+
+struct ErrorRow {
+  ErrorKind Kind_;
+  std::string_view Name_;
+  int Status_;
+};
+
+constexpr std::array ErrorRows = {
+    ErrorRow{ErrorKind::BadRequest, "bad_request", 400},
+    ErrorRow{ErrorKind::BadKey, "bad_key", 401},
+    ErrorRow{ErrorKind::UnknownModel, "unknown_model", 404},
+    ErrorRow{ErrorKind::UnknownRoute, "unknown_route", 404},
+    ErrorRow{ErrorKind::OverLimit, "over_limit", 429},
+    ErrorRow{ErrorKind::Overloaded, "overloaded", 503},
+    ErrorRow{ErrorKind::Draining, "draining", 503},
+    ErrorRow{ErrorKind::NoUpstream, "no_upstream", 503},
+    ErrorRow{ErrorKind::NotReady, "not_ready", 503},
+    ErrorRow{ErrorKind::TimeLimit, "time_limit", 504},
+    ErrorRow{ErrorKind::UpstreamFailed, "upstream_failed", 502},
+    ErrorRow{ErrorKind::OutcomeUnknown, "outcome_unknown", 502},
+    ErrorRow{ErrorKind::KeyRequired, "idempotency_key_required", 400},
+    ErrorRow{ErrorKind::KeyInUse, "idempotency_key_in_use", 409},
+    ErrorRow{ErrorKind::KeyExpired, "idempotency_key_expired", 409},
+    ErrorRow{ErrorKind::ControlUnavailable, "log_unavailable", 503},
+    ErrorRow{ErrorKind::NotFound, "not_found", 404},
+};
+
+const ErrorRow &rowOf(ErrorKind Kind) {
+  for (const ErrorRow &Row : ErrorRows)
+    if (Row.Kind_ == Kind)
+      return Row;
+  return ErrorRows[0];
+}
+
+} // namespace
+
+std::string_view name(Priority Value) {
+  return Value == Priority::Interactive ? "interactive" : "batch";
+}
+
+std::string_view name(RunState Value) {
+  switch (Value) {
+  case RunState::NotRun:
+    return "not_run";
+  case RunState::Run:
+    return "run";
+  case RunState::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+std::string_view name(ErrorKind Value) { return rowOf(Value).Name_; }
+
+std::string_view name(AttemptFailure Value) {
+  switch (Value) {
+  case AttemptFailure::NotSent:
+    return "not_sent";
+  case AttemptFailure::Refused:
+    return "refused";
+  case AttemptFailure::Broken:
+    return "broken";
+  case AttemptFailure::Silent:
+    return "silent";
+  case AttemptFailure::Garbage:
+    return "garbage";
+  case AttemptFailure::Failed:
+    break;
+  }
+  return "failed";
+}
+
+int httpStatus(ErrorKind Kind) { return rowOf(Kind).Status_; }
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/types.h
@@ -0,0 +1,81 @@
+// Basic vocabulary shared by all modules: identifiers, units and typed errors.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace endivewharf {
+
+/// Milliseconds on this process's monotonic clock (durations use it as well).
+using Millis = std::int64_t;
+/// Number of a caller's request within this process.
+using CallId = std::uint64_t;
+/// Number of one try of a call at one upstream, unique within this process.
+using AttemptId = std::uint64_t;
+/// Position in the platform's log; -1 means "none".
+using LogOffset = std::int64_t;
+
+constexpr LogOffset NoOffset = -1;
+
+enum class Priority { Interactive, Batch };
+enum class CallKind { Completion, Service };
+enum class UpstreamKind { Model, Service };
+
+/// What is known of a request that did not succeed.
+enum class RunState {
+  NotRun, ///< No upstream has acted on it and none will.
+  Run,    ///< An upstream has acted on it.
+  Unknown ///< An upstream may have acted on it.
+};
+
+/// Every reason for which a caller gets something else than an answer.
+enum class ErrorKind {
+  BadRequest,
+  BadKey,
+  UnknownModel,
+  UnknownRoute,
+  OverLimit,
+  Overloaded,
+  Draining,
+  NoUpstream,
+  NotReady,
+  TimeLimit,
+  UpstreamFailed,
+  OutcomeUnknown,
+  KeyRequired,
+  KeyInUse,
+  KeyExpired,
+  ControlUnavailable,
+  NotFound,
+};
+
+/// Why one attempt ended without a whole answer.
+enum class AttemptFailure {
+  NotSent, ///< The connection was refused: no byte of the request was written.
+  Refused, ///< The upstream said that it did not take the request.
+  Broken,  ///< The connection broke after bytes were written.
+  Silent,  ///< No byte within the progress limit.
+  Garbage, ///< The answer broke the protocol or was too long.
+  Failed   ///< The upstream answered with an error of its own.
+};
+
+/// One final answer that is not a success.
+struct CallError {
+  ErrorKind Kind_ = ErrorKind::BadRequest;
+  RunState Run_ = RunState::NotRun;
+  std::string Detail_;
+  Millis RetryAfter_ = 0; ///< 0: no advice.
+};
+
+std::string_view name(Priority Value);
+std::string_view name(RunState Value);
+std::string_view name(ErrorKind Value);
+std::string_view name(AttemptFailure Value);
+
+/// HTTP status for an error.
+/// @param Kind reason of the failure
+/// @return status code of 400 or more
+int httpStatus(ErrorKind Kind);
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/upstreams.cpp
@@ -0,0 +1,176 @@
+// Upstream health: evidence in, restrictions out.
+#include "upstreams.h"
+
+#include "core.h"
+#include "membership.h"
+#include "router.h"
+
+#include <algorithm>
+#include <fmt/format.h>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr Millis HostListPeriod = 500;  // ms between reads
+constexpr Millis NoticePeriod = 250;    // ms between reads
+constexpr Millis ProbePeriod = 500;     // ms between probes of one upstream
+constexpr Millis AvoidTime = 500;       // ms after a failure, doubled in a row
+constexpr Millis MaxAvoidTime = 8000;   // ms
+constexpr int ProbesPerTick = 8;        // bound on the probing work of a tick
+constexpr double LimitCut = 0.7;        // after a refusal
+constexpr double MaxLimit = 256;        // attempts in flight
+constexpr int ProbeFailuresToAvoid = 2; // in a row
+
+std::string lifeKey(const Life &Host) {
+  return fmt::format("{}/{}", Host.Name_, Host.Incarnation_);
+}
+
+void avoidForAWhile(State &S, Upstream &U) {
+  const int Doublings = std::min(U.FailuresInRow_, 5);
+  U.AvoidUntil_ = S.Now_ + std::min(MaxAvoidTime, AvoidTime << Doublings);
+}
+
+void addUpstream(State &S, const HostRow &Row, Effects &Out) {
+  // A newer life of the same name means that the older one has ended.
+  for (Upstream &Old : S.Upstreams_)
+    if (Old.Row_.Host_.Name_ == Row.Host_.Name_ &&
+        Old.Row_.Host_.Incarnation_ < Row.Host_.Incarnation_)
+      markLeaving(S, Old.Row_.Host_, "replaced", Out);
+  Upstream New;
+  New.Row_ = Row;
+  New.Limit_ = S.Settings_.Limits_.UpstreamSlots_;
+  New.Leaving_ = isLeaving(S, Row.Host_);
+  S.UpstreamByLife_[Row.Host_] = static_cast<int>(S.Upstreams_.size());
+  S.Upstreams_.push_back(New);
+  S.PoolsChanged_ = true;
+  logEvent(Out, "upstream_added",
+           {{"upstream", Row.Host_.Name_}, {"address", Row.Address_}});
+}
+
+bool isOwnHost(const State &S, const Life &Host) {
+  return Host.Name_ == S.Self_.Name_;
+}
+
+} // namespace
+
+bool isLeaving(const State &S, const Life &Host) {
+  return S.Leaving_.count(lifeKey(Host)) > 0;
+}
+
+void markLeaving(State &S, const Life &Host, std::string_view Reason,
+                 Effects &Out) {
+  const LeavingFact Fact{Host, std::string(Reason)};
+  if (!S.Leaving_.emplace(lifeKey(Host), Fact).second)
+    return;
+  const auto Found = S.UpstreamByLife_.find(Host);
+  if (Found != S.UpstreamByLife_.end()) {
+    S.Upstreams_[Found->second].Leaving_ = true;
+    forgetPrefixes(S, Found->second);
+    S.PoolsChanged_ = true;
+  }
+  remember(S, Host.Name_, fmt::format("leaving: {}", Reason));
+  logEvent(Out, "upstream_leaving",
+           {{"upstream", Host.Name_}, {"reason", std::string(Reason)}});
+  spreadFacts(S, {{Fact}, {}, {}}, "", Out);
+}
+
+void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
+  for (Upstream &U : S.Upstreams_)
+    U.Listed_ = false;
+  for (const HostRow &Row : E.Hosts_) {
+    const auto Found = S.UpstreamByLife_.find(Row.Host_);
+    if (Found == S.UpstreamByLife_.end())
+      addUpstream(S, Row, Out);
+    else
+      S.Upstreams_[Found->second].Listed_ = true;
+    if (Row.Leaving_)
+      markLeaving(S, Row.Host_, "host_list", Out);
+  }
+  S.PoolsChanged_ = true;
+  S.HostsReadAt_ = S.Now_;
+}
+
+void onNoticesRead(State &S, const NoticesRead &E, Effects &Out) {
+  for (const ReclaimNotice &Notice : E.Notices_) {
+    if (isOwnHost(S, Notice.Host_))
+      beginStop(S, Notice.TimeLeft_, "reclaim", Out);
+    else
+      markLeaving(S, Notice.Host_, "notice", Out);
+  }
+}
+
+void onProbeEnded(State &S, const ProbeEnded &E, Effects &Out) {
+  const auto Found = S.UpstreamByLife_.find(E.Host_);
+  if (Found == S.UpstreamByLife_.end())
+    return;
+  Upstream &U = S.Upstreams_[Found->second];
+  U.Probing_ = false;
+  if (!E.Reached_) {
+    if (++U.FailuresInRow_ >= ProbeFailuresToAvoid)
+      avoidForAWhile(S, U);
+    return;
+  }
+  U.FailuresInRow_ = 0;
+  U.AvoidUntil_ = 0;
+  U.Waiting_ = E.Waiting_;
+  const std::set<LoadedVersion> Loaded(E.Loaded_.begin(), E.Loaded_.end());
+  if (Loaded != U.Loaded_) {
+    U.Loaded_ = Loaded;
+    S.PoolsChanged_ = true;
+  }
+  if (E.Leaving_)
+    markLeaving(S, E.Host_, "engine", Out);
+}
+
+void noteAttemptOk(State &S, int Index) {
+  Upstream &U = S.Upstreams_[Index];
+  U.FailuresInRow_ = 0;
+  if (U.InFlight_ + 1 >= static_cast<int>(U.Limit_))
+    U.Limit_ = std::min(MaxLimit, U.Limit_ + 1 / U.Limit_);
+}
+
+void noteAttemptFailed(State &S, int Index, AttemptFailure Failure) {
+  Upstream &U = S.Upstreams_[Index];
+  switch (Failure) {
+  case AttemptFailure::Refused:
+    U.Limit_ = std::max(1.0, U.Limit_ * LimitCut);
+    break;
+  case AttemptFailure::NotSent:
+  case AttemptFailure::Garbage:
+  case AttemptFailure::Failed:
+    ++U.FailuresInRow_;
+    avoidForAWhile(S, U);
+    break;
+  case AttemptFailure::Broken:
+  case AttemptFailure::Silent:
+    // Speaks against the connection; a failed new one will speak against the
+    // upstream.
+    break;
+  }
+}
+
+void tickUpstreams(State &S, Effects &Out) {
+  if (S.HostsReadAt_ < 0 || S.Now_ - S.HostsReadAt_ >= HostListPeriod) {
+    S.HostsReadAt_ = S.Now_;
+    Out.push_back(ReadHosts{});
+  }
+  const bool HasCloud = !S.Settings_.CloudUrl_.empty();
+  if (HasCloud &&
+      (S.NoticesReadAt_ < 0 || S.Now_ - S.NoticesReadAt_ >= NoticePeriod)) {
+    S.NoticesReadAt_ = S.Now_;
+    Out.push_back(ReadNotices{});
+  }
+  int Probes = 0;
+  for (Upstream &U : S.Upstreams_) {
+    if (U.Leaving_ || !U.Listed_ || U.Probing_ || Probes == ProbesPerTick ||
+        (U.ProbedAt_ != 0 && S.Now_ - U.ProbedAt_ < ProbePeriod))
+      continue;
+    U.Probing_ = true;
+    U.ProbedAt_ = S.Now_;
+    ++Probes;
+    Out.push_back(ProbeUpstream{U.Row_.Host_, U.Row_.Address_});
+  }
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/upstreams.h
@@ -0,0 +1,28 @@
+// Knows the upstreams: from the host list, notices, probes and answers. Each of
+// these alone can take a host out of service; only a new life brings it back.
+#pragma once
+
+#include "state.h"
+
+namespace endivewharf {
+
+void onHostsRead(State &S, const HostsRead &E, Effects &Out);
+void onNoticesRead(State &S, const NoticesRead &E, Effects &Out);
+void onProbeEnded(State &S, const ProbeEnded &E, Effects &Out);
+
+/// Takes one life of a host out of service for good.
+/// @param Reason for the log and for `dump`
+void markLeaving(State &S, const Life &Host, std::string_view Reason,
+                 Effects &Out);
+
+/// @return true if this life of a host is known to be leaving
+bool isLeaving(const State &S, const Life &Host);
+
+/// Books how an attempt ended: adaptive limit, failures in a row.
+void noteAttemptOk(State &S, int Index);
+void noteAttemptFailed(State &S, int Index, AttemptFailure Failure);
+
+/// Reads the host list and notices again, probes what is due.
+void tickUpstreams(State &S, Effects &Out);
+
+} // namespace endivewharf
--- /dev/null
+++ b/standins/web.cpp
@@ -0,0 +1,132 @@
+// RESTinio behind the stand-ins' small interface.
+#include "web.h"
+
+#include <chrono>
+#include <cstdio>
+#include <restinio/all.hpp>
+
+namespace standin {
+
+namespace {
+
+using Traits = restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
+                                                restinio::null_logger_t>;
+using Server = restinio::http_server_t<Traits>;
+using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
+
+constexpr std::size_t MaxBody = 64 << 20; // bytes
+
+class Reply : public WebReply {
+public:
+  explicit Reply(restinio::request_handle_t Request)
+      : Request_(std::move(Request)) {}
+
+  void send(int Status, const std::string &Type, std::string Body,
+            bool NotRun) override {
+    auto Response = Request_->create_response(restinio::http_status_line_t{
+        restinio::http_status_code_t(static_cast<std::uint16_t>(Status)),
+        Status < 400 ? "OK" : "Error"});
+    Response.append_header("Content-Type", Type);
+    if (NotRun)
+      Response.append_header("X-Not-Run", "1");
+    Response.set_body(std::move(Body));
+    Response.done();
+  }
+
+  void begin(const std::string &Type, std::function<void()> OnGone) override {
+    OnGone_ = std::move(OnGone);
+    Stream_ = std::make_unique<Stream>(
+        Request_->create_response<restinio::chunked_output_t>());
+    Stream_->append_header("Content-Type", Type);
+  }
+
+  void chunk(std::string Bytes) override {
+    Stream_->append_chunk(std::move(Bytes));
+    Stream_->flush([Gone = OnGone_](const asio::error_code &Error) {
+      if (Error && Gone)
+        Gone();
+    });
+  }
+
+  void end() override { Stream_->done(); }
+
+private:
+  restinio::request_handle_t Request_;
+  std::unique_ptr<Stream> Stream_;
+  std::function<void()> OnGone_;
+};
+
+WebRequest readRequest(const restinio::request_handle_t &From) {
+  WebRequest Request;
+  const auto &Header = From->header();
+  Request.Method_ = Header.method().c_str();
+  Request.Path_ = std::string(Header.path().data(), Header.path().size());
+  Request.Body_ = From->body();
+  Request.IdempotencyKey_ = Header.get_field_or("Idempotency-Key", "");
+  Request.RequestId_ = Header.get_field_or("X-Request-Id", "");
+  const auto Query = restinio::parse_query(Header.query());
+  for (const auto &[Key, Value] : Query)
+    Request.Query_[std::string(Key.data(), Key.size())] =
+        std::string(Value.data(), Value.size());
+  return Request;
+}
+
+} // namespace
+
+struct Web::Impl {
+  std::unique_ptr<Server> Server_;
+};
+
+Web::Web(asio::io_context &Io, int Port, WebHandler Handler)
+    : Impl_(std::make_unique<Impl>()) {
+  const auto OnRequest = [Handler = std::move(Handler)](const auto &Request) {
+    Handler(readRequest(Request), std::make_shared<Reply>(Request));
+    return restinio::request_accepted();
+  };
+  Impl_->Server_ =
+      std::make_unique<Server>(restinio::external_io_context(Io), [&](auto &S) {
+        S.address("127.0.0.1")
+            .port(static_cast<std::uint16_t>(Port))
+            .request_handler(OnRequest)
+            .read_next_http_message_timelimit(std::chrono::minutes(10))
+            .write_http_response_timelimit(std::chrono::seconds(10))
+            .handle_request_timeout(std::chrono::hours(2))
+            .incoming_http_msg_limits(
+                restinio::incoming_http_msg_limits_t().max_body_size(MaxBody))
+            .socket_options_setter([](auto &Options) {
+              Options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
+              Options.set_option(asio::ip::tcp::no_delay(true));
+            });
+      });
+  Impl_->Server_->open_async([] {},
+                             [](std::exception_ptr) {
+                               std::fputs("standin: the port is in use\n",
+                                          stderr);
+                               std::exit(1);
+                             });
+}
+
+Web::~Web() = default;
+
+void after(asio::io_context &Io, std::int64_t Ms, std::function<void()> Then) {
+  auto Timer =
+      std::make_shared<asio::steady_timer>(Io, std::chrono::milliseconds(Ms));
+  Timer->async_wait(
+      [Timer, Then = std::move(Then)](const asio::error_code &Error) {
+        if (!Error)
+          Then();
+      });
+}
+
+std::int64_t nowMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::steady_clock::now().time_since_epoch())
+      .count();
+}
+
+Json parseBody(const WebRequest &Request) {
+  Json Body = Json::parse(Request.Body_, nullptr, false);
+  return Body.is_object() ? Body : Json::object();
+}
+
+} // namespace standin
--- /dev/null
+++ b/standins/web.h
@@ -0,0 +1,83 @@
+// Small HTTP server for the stand-ins, on RESTinio.
+#pragma once
+
+#include <asio.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <string_view>
+
+namespace standin {
+
+using Json = nlohmann::json;
+
+struct WebRequest {
+  std::string Method_;
+  std::string Path_;
+  std::map<std::string, std::string> Query_;
+  std::string Body_;
+  std::string IdempotencyKey_;
+  std::string RequestId_;
+};
+
+/// The answer to one request; may be kept and used later.
+class WebReply {
+public:
+  virtual ~WebReply() = default;
+  virtual void send(int Status, const std::string &Type, std::string Body,
+                    bool NotRun = false) = 0;
+  /// Begins a streamed answer; `OnGone` is called if the caller goes away.
+  virtual void begin(const std::string &Type, std::function<void()> OnGone) = 0;
+  virtual void chunk(std::string Bytes) = 0;
+  virtual void end() = 0;
+
+  void json(int Status, const Json &Body) {
+    send(Status, "application/json", Body.dump());
+  }
+};
+
+using WebReplyPtr = std::shared_ptr<WebReply>;
+using WebHandler = std::function<void(const WebRequest &, WebReplyPtr)>;
+
+/// Listens on 127.0.0.1 until the loop ends; exits the process if it can't.
+class Web {
+public:
+  Web(asio::io_context &Io, int Port, WebHandler Handler);
+  ~Web();
+
+private:
+  struct Impl;
+  std::unique_ptr<Impl> Impl_;
+};
+
+/// Runs `Then` after a while.
+void after(asio::io_context &Io, std::int64_t Ms, std::function<void()> Then);
+
+/// Milliseconds on the monotonic clock.
+std::int64_t nowMs();
+
+Json parseBody(const WebRequest &Request);
+
+// One function for each kind of stand-in; it sets up and returns.
+struct Options {
+  int Port_ = 0;
+  std::string Models_; ///< `model@version,model@version`.
+  int Slots_ = 8;
+  int Queue_ = 32;
+  double TokenMs_ = 5;
+  double PrefillUs_ = 100;
+  int CacheBlocks_ = 512;
+  int LoadMs_ = 300;
+  int LagMs_ = 100;
+  bool CheckEpoch_ = true;
+};
+
+void runEngine(asio::io_context &Io, const Options &From);
+void runService(asio::io_context &Io, const Options &From);
+void runLog(asio::io_context &Io, const Options &From);
+void runHosts(asio::io_context &Io, const Options &From);
+void runCloud(asio::io_context &Io, const Options &From);
+
+} // namespace standin
