--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -280,8 +280,11 @@
     C.FreshConnection_ = true;
   else
     C.TriedUpstreams_.insert(A.Upstream_);
-  const bool Budgeted = E.Failure_ == AttemptFailure::Failed ||
-                        E.Failure_ == AttemptFailure::Garbage;
+  // The step back from a new version happens once per call and ends with the
+  // verdict, so it is no storm and needs no budget.
+  const bool Budgeted = (E.Failure_ == AttemptFailure::Failed ||
+                         E.Failure_ == AttemptFailure::Garbage) &&
+                        !A.NewVersion_;
   if (C.Attempts_ >= MaxAttempts || (Budgeted && !takeRetry(S))) {
     refuse(
         S, C,
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -15,11 +15,11 @@
 
 namespace {
 
-constexpr Millis LogRetryPeriod = 250;    // ms after a failure
-constexpr Millis SnapshotPeriod = 30000;  // ms
-constexpr Millis GenesisPatience = 2000;  // ms to wait for a base
-constexpr std::size_t MaxRejections = 32; // kept for operators
-constexpr std::size_t MaxBatch = 256;     // records an append
+constexpr Millis LogRetryPeriod = 250;                 // ms after a failure
+constexpr Millis SnapshotPeriod = 30000;               // ms
+constexpr Millis GenesisPatience = 2 * SnapshotPeriod; // ms without a base
+constexpr std::size_t MaxRejections = 32;              // kept for operators
+constexpr std::size_t MaxBatch = 256;                  // records an append
 
 void keepRejection(std::map<LogOffset, std::string> &Rejected, LogOffset Offset,
                    std::string Why) {
@@ -89,7 +89,8 @@
   }
 
   void operator()(const SnapshotRecord &R) const {
-    if (!S_.Control_.Baseless_)
+    // A snapshot is a base only if its writer had read all that we missed.
+    if (!S_.Control_.Baseless_ || R.Through_ + 1 < S_.Control_.BaseFrom_)
       return;
     adoptControl(S_, R.Control_, "snapshot", Out_);
     S_.Control_.Baseless_ = false;
@@ -155,10 +156,11 @@
   const bool First = S.Log_.ReadThrough_ == NoOffset;
   if (!First)
     forgetClaims(S);
-  if (S.Control_.Version_ == NoOffset && !S.Control_.Baseless_) {
-    S.Control_.Baseless_ = true;
-    S.Control_.BaselessSince_ = S.Now_;
-  }
+  // Whatever is known, one of the missed records may have changed it.
+  S.Control_.Baseless_ = true;
+  S.Control_.BaseFrom_ = Earliest;
+  S.Control_.BaselessSince_ = S.Now_;
+  S.Control_.Unjudged_.clear();
 }
 
 } // namespace
@@ -234,8 +236,10 @@
     for (const auto &[Offset, Record] : Remaining)
       std::visit(RecordVisitor{S, Offset, Out}, Record);
   }
-  if (holdsLease(S) && S.Config_.Version_ != NoOffset &&
-      S.Now_ - S.Control_.SnapshotAt_ > SnapshotPeriod) {
+  const bool Due = S.Control_.SnapshotAt_ < 0 ||
+                   S.Now_ - S.Control_.SnapshotAt_ > SnapshotPeriod;
+  if (Due && holdsLease(S) && !S.Control_.Baseless_ &&
+      S.Config_.Version_ != NoOffset) {
     S.Control_.SnapshotAt_ = S.Now_;
     appendRecord(S, SnapshotRecord{S.Lease_.Epoch_, S.Log_.ReadThrough_,
                                    controlSnapshot(S)});
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -19,13 +19,15 @@
 namespace {
 
 constexpr std::array ShareSteps = {0.05, 0.25, 0.5, 1.0};
-constexpr Millis MinStepTime = 2000;        // ms between two raises
-constexpr Millis MaxStepTime = 60000;       // ms
-constexpr Millis ShareAskTime = 2000;       // ms until a lost raise is repeated
-constexpr Millis EvidencePeriod = 250;      // ms between spreads
-constexpr std::int64_t WindowMs = 10000;    // ms of one evidence window
-constexpr std::int64_t RecentWindows = 3;   // looked at for "bad"
-constexpr std::int64_t KeptWindows = 30;    // looked at for "good"
+constexpr Millis MinStepTime = 2000;       // ms between two raises
+constexpr Millis MaxStepTime = 60000;      // ms
+constexpr Millis ShareAskTime = 2000;      // ms until a lost raise is repeated
+constexpr Millis EvidencePeriod = 250;     // ms between spreads
+constexpr std::int64_t WindowMs = 2000;    // ms of one evidence window
+constexpr std::int64_t RecentWindows = 15; // looked at for "bad"
+constexpr std::array Suffixes = {1, 2, 4, 8, 15}; // windows, the newest ones
+constexpr std::int64_t MaxWindowsAhead = 2;       // of another process's clock
+constexpr Millis JudgePeriod = 200;               // ms between two judgements
 constexpr double BadThreshold = 9.2;        // ln(1 / false alarm), 1 in 10,000
 constexpr double GoodThreshold = -4.6;      // ln(miss), 1 in 100
 constexpr double BaseFailureRate = 0.02;    // accepted of any version
@@ -37,10 +39,15 @@
 constexpr int MaxLoads = 2;                 // at once, for the weight store
 constexpr double MaxCredit = 2; // requests that a share may be behind
 
-std::string rowKey(const EvidenceRow &R) {
-  return fmt::format("{}|{}|{}|{}|{}|{}/{}|{}", R.Note_, R.Model_, R.New_,
+/// Names a row apart from its window.
+std::string seriesKey(const EvidenceRow &R) {
+  return fmt::format("{}|{}|{}|{}|{}|{}/{}", R.Note_, R.Model_, R.New_,
                      R.Route_, R.DataCentre_, R.Observer_.Name_,
-                     R.Observer_.Incarnation_, R.Window_);
+                     R.Observer_.Incarnation_);
+}
+
+std::string rowKey(const EvidenceRow &R) {
+  return fmt::format("{}|{}", seriesKey(R), R.Window_);
 }
 
 void addSums(SampleSums &To, const SampleSums &From) {
@@ -89,33 +96,42 @@
   return (Shift * Excess - NewCount * Shift * Shift / 2) / Effective;
 }
 
-struct Strata {
-  std::map<std::string, Stratum> Recent_; ///< By route and data centre.
-  Stratum RecentAll_;
-  Stratum KeptAll_;
-};
+/// Strata of the newest windows, by route and data centre and for all.
+using Strata = std::map<std::string, Stratum>;
 
-Strata collect(const State &S, const Move &M) {
+constexpr const char *Everywhere = "everywhere";
+
+void addRow(Strata &To, const EvidenceRow &Row) {
+  const auto Add = [&](const std::string &Name) {
+    Stratum &T = To[Name];
+    addSums(Row.New_ ? T.New_ : T.Old_, Row.Sums_);
+  };
+  Add(Everywhere);
+  Add(fmt::format("{} in {}", Row.Route_, Row.DataCentre_));
+}
+
+bool isOf(const EvidenceRow &Row, const Move &M) {
+  return Row.Note_ == M.Row_.Note_ && Row.Model_ == M.Row_.Model_;
+}
+
+/// Evidence of a move in its newest windows.
+Strata recentStrata(const State &S, const Move &M, std::int64_t Windows) {
   Strata Result;
-  std::int64_t Last = 0;
   for (const auto &[Key, Row] : S.Release_.Evidence_)
-    if (Row.Note_ == M.Row_.Note_)
-      Last = std::max(Last, Row.Window_);
-  for (const auto &[Key, Row] : S.Release_.Evidence_) {
-    if (Row.Note_ != M.Row_.Note_ || Row.Model_ != M.Row_.Model_)
-      continue;
-    const auto Add = [&](Stratum &T) {
-      addSums(Row.New_ ? T.New_ : T.Old_, Row.Sums_);
-    };
-    Add(Result.KeptAll_);
-    if (Row.Window_ <= Last - RecentWindows)
-      continue;
-    Add(Result.RecentAll_);
-    Add(Result.Recent_[fmt::format("{} in {}", Row.Route_, Row.DataCentre_)]);
-  }
+    if (isOf(Row, M) && Row.Window_ > S.Release_.LastWindow_ - Windows)
+      addRow(Result, Row);
   return Result;
 }
 
+/// All evidence of a move.
+Stratum wholeStratum(const State &S, const Move &M) {
+  Strata Result = recentStrata(S, M, RecentWindows + 1);
+  for (const auto &[Key, Row] : S.Release_.Folded_)
+    if (isOf(Row, M))
+      addRow(Result, Row);
+  return Result[Everywhere];
+}
+
 double nextStep(double Share) {
   for (const double Step : ShareSteps)
     if (Step > Share + 1e-9)
@@ -215,12 +231,17 @@
               {"share", fmt::format("{}", M.Row_.Share_)}});
 }
 
-void expireEvidence(State &S) {
-  std::int64_t Last = 0;
-  for (const auto &[Key, Row] : S.Release_.Evidence_)
-    Last = std::max(Last, Row.Window_);
-  std::erase_if(S.Release_.Evidence_, [&](const auto &Entry) {
-    return Entry.second.Window_ <= Last - KeptWindows;
+/// Sums up windows that are over, so that evidence stays small.
+void foldEvidence(State &S) {
+  ReleaseState &R = S.Release_;
+  std::erase_if(R.Evidence_, [&](const auto &Entry) {
+    const EvidenceRow &Row = Entry.second;
+    if (Row.Window_ > R.LastWindow_ - RecentWindows)
+      return false;
+    const auto [Sum, First] = R.Folded_.try_emplace(seriesKey(Row), Row);
+    if (!First)
+      addSums(Sum->second.Sums_, Row.Sums_);
+    return true;
   });
 }
 
@@ -383,6 +404,7 @@
   Row.DataCentre_ = S.Settings_.DataCentre_;
   Row.Observer_ = S.Self_;
   Row.Window_ = S.UnixMs_ / WindowMs;
+  S.Release_.LastWindow_ = std::max(S.Release_.LastWindow_, Row.Window_);
   auto [Found, New] = S.Release_.Evidence_.try_emplace(rowKey(Row), Row);
   SampleSums &Sums = Found->second.Sums_;
   ++Sums.Count_;
@@ -397,13 +419,18 @@
   }
   S.Release_.EvidenceChanged_ = true;
   if (A.NewVersion_ && Failed)
-    tickRelease(S, Out); // a verdict may be due at once
+    judgeMoves(S, Out); // a verdict may be due at once
 }
 
 void mergeEvidence(State &S, const std::vector<EvidenceRow> &Rows) {
   for (const EvidenceRow &Row : Rows) {
-    if (Row.Observer_ == S.Self_)
+    // What is late has been folded already; what is far ahead comes from a
+    // wrong clock and would fold everybody else's.
+    if (Row.Observer_ == S.Self_ ||
+        Row.Window_ > S.UnixMs_ / WindowMs + MaxWindowsAhead ||
+        Row.Window_ <= S.Release_.LastWindow_ - RecentWindows)
       continue;
+    S.Release_.LastWindow_ = std::max(S.Release_.LastWindow_, Row.Window_);
     auto [Found, New] = S.Release_.Evidence_.try_emplace(rowKey(Row), Row);
     if (Row.Sums_.Count_ > Found->second.Sums_.Count_)
       Found->second.Sums_ = Row.Sums_;
@@ -411,7 +438,6 @@
 }
 
 Verdict judge(const State &S, const Move &M) {
-  const Strata All = collect(S, M);
   Verdict Result;
   const auto Look = [&](const Stratum &T, std::string_view Where) {
     const double Failure = failureScore(T);
@@ -432,19 +458,27 @@
           T.New_.Timed_, Where);
     }
   };
-  Look(All.RecentAll_, "everywhere");
-  for (const auto &[Where, T] : All.Recent_)
-    Look(T, Where);
+  // A version that turns bad after a long good time shows in the newest
+  // windows first: the longest run of evidence for "bad" counts.
+  for (const std::int64_t Windows : Suffixes)
+    for (const auto &[Where, T] : recentStrata(S, M, Windows))
+      Look(T, Where);
   if (Result.Kind_ == VerdictKind::Bad)
     return Result;
-  const bool FailureGood = failureScore(All.KeptAll_) <= GoodThreshold;
-  const bool LatencyGood = latencyScore(All.KeptAll_) <= GoodThreshold;
-  if (FailureGood && LatencyGood)
+  const Stratum Whole = wholeStratum(S, M);
+  if (failureScore(Whole) <= GoodThreshold &&
+      latencyScore(Whole) <= GoodThreshold)
     Result.Kind_ = VerdictKind::Good;
   return Result;
 }
 
 void tickRelease(State &S, Effects &Out) {
+  if (S.Now_ - S.Release_.JudgedAt_ >= JudgePeriod)
+    judgeMoves(S, Out);
+}
+
+void judgeMoves(State &S, Effects &Out) {
+  S.Release_.JudgedAt_ = S.Now_;
   for (auto &[Model, M] : S.Release_.Moves_) {
     if (M.Row_.Bad_)
       continue;
@@ -460,7 +494,7 @@
       planShare(S, M, V, Out);
   }
   spreadEvidence(S, Out);
-  expireEvidence(S);
+  foldEvidence(S);
 }
 
 } // namespace endivewharf
--- a/src/release.h
+++ b/src/release.h
@@ -46,8 +46,11 @@
 /// @return bad with its reason, good, or undecided
 Verdict judge(const State &S, const Move &M);
 
-/// Judges, spreads evidence and, with the lease, raises shares and orders
-/// loads.
+/// Judges all moves, spreads evidence and, with the lease, raises shares and
+/// orders loads.
+void judgeMoves(State &S, Effects &Out);
+
+/// Does so when it is due.
 void tickRelease(State &S, Effects &Out);
 
 } // namespace endivewharf
--- a/src/state.h
+++ b/src/state.h
@@ -169,10 +169,11 @@
 /// How far the control records have been applied.
 struct ControlState {
   LogOffset Version_ = NoOffset; ///< Last control record applied.
-  bool Baseless_ = false; ///< The log's start has expired: wait for a snapshot.
+  bool Baseless_ = false;        ///< Records were missed: wait for a snapshot.
+  LogOffset BaseFrom_ = 0; ///< First record that could be read after them.
   std::vector<std::pair<LogOffset, LogRecord>> Unjudged_; ///< Until then.
   Millis BaselessSince_ = 0;
-  Millis SnapshotAt_ = 0;
+  Millis SnapshotAt_ = -1; ///< -1: none written by this process yet.
 };
 
 struct LeaseState {
@@ -224,7 +225,11 @@
   /// By note, model, version, route, data centre and observer.
   std::map<std::string, EvidenceRow> Evidence_;
   std::map<std::pair<LogOffset, std::string>, BadVersionFact> Bad_;
+  /// Windows that are over, summed up; keyed as above but without window.
+  std::map<std::string, EvidenceRow> Folded_;
+  std::int64_t LastWindow_ = 0;
   Millis EvidenceSentAt_ = 0;
+  Millis JudgedAt_ = 0;
   bool EvidenceChanged_ = false;
 };
 
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -121,6 +121,37 @@
   expectEverywhere(Offset);
 }
 
+TEST_F(ControlTest, config_recordMissedByRetention_isReadFromSnapshot) {
+  World &W = start();
+  W.cut("dc1", true); // no peer can help
+  W.pause(1);
+  W.run(1500); // its last read has returned
+  const LogOffset Offset = publishNext(0);
+  W.run(35000); // a snapshot has been written since
+  const auto Missed = static_cast<std::ptrdiff_t>(Offset) + 2;
+  W.LogRecords_.erase(W.LogRecords_.begin(), W.LogRecords_.begin() + Missed);
+  W.LogEarliest_ += Missed;
+  W.wake(1);
+  W.run(ConfigLimit);
+  EXPECT_EQ(version(1), Offset);
+}
+
+TEST_F(ControlTest, snapshot_olderThanMissedRecords_isNoBase) {
+  State S = makeState({}, 1);
+  const auto Config = exampleConfig({"m"});
+  LogRead Page;
+  Page.Earliest_ = 10;
+  Page.Next_ = 11;
+  // Its writer had read through 7; record 8 or 9 may have been a configuration.
+  Page.Entries_ = {{10, SnapshotRecord{1, 7, {5, 5, Config, NoOffset, {}}}}};
+  reduce(S, {1, 1, 1, Page});
+  EXPECT_EQ(S.Config_.Version_, NoOffset);
+  Page.Next_ = 12;
+  Page.Entries_ = {{11, SnapshotRecord{1, 10, {8, 8, Config, NoOffset, {}}}}};
+  reduce(S, {2, 2, 2, Page});
+  EXPECT_EQ(S.Config_.Version_, 8);
+}
+
 TEST_F(ControlTest, config_whateverHappens_neverReverts) {
   for (std::uint64_t Seed = 1; Seed <= 10; ++Seed) {
     WorldOptions Options;
