End-to-end proofs with real processes; mend a truncating upstream

Change: a missing end marker is the upstream's own fault, and a second broken connection at one upstream speaks against it. Ruled out: the duplicate tokens of the other upstreams (they are dropped by index).

Two faults of the tests themselves: a range over a temporary dump, and one port picked twice; each test process now has a port range of its own below the ephemeral ones.

--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -227,7 +227,7 @@
     return;
   }
   if (Whole) {
-    fail(Id, AttemptFailure::Broken, "the stream ended without end marker");
+    fail(Id, AttemptFailure::Garbage, "the stream ended without end marker");
     return;
   }
   fail(Id, failureOf(endOf(Result)), Result.Detail_);
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -272,14 +272,15 @@
                      const AttemptFailed &E, Effects &Out) {
   if (A.NewVersion_)
     C.AvoidNewVersion_ = true;
-  // A broken or silent stream is resumed at the same upstream over a new
-  // connection, if it still takes work; other failures speak against it.
+  // A broken or silent stream may be resumed at the same upstream over a new
+  // connection; a second one there, as other failures, speaks against it.
   const bool ConnectionOnly = E.Failure_ == AttemptFailure::Broken ||
                               E.Failure_ == AttemptFailure::Silent;
-  if (ConnectionOnly)
+  if (ConnectionOnly && C.BrokenUpstream_ != A.Upstream_)
     C.FreshConnection_ = true;
   else
     C.TriedUpstreams_.insert(A.Upstream_);
+  C.BrokenUpstream_ = A.Upstream_;
   // The step back from a new version happens once per call and ends with the
   // verdict, so it is no storm and needs no budget.
   const bool Budgeted = (E.Failure_ == AttemptFailure::Failed ||
--- a/src/state.h
+++ b/src/state.h
@@ -95,6 +95,7 @@
   AttemptId Attempt_ = 0; ///< 0: none.
   int Attempts_ = 0;
   std::set<int> TriedUpstreams_;
+  int BrokenUpstream_ = -1;      ///< Where the last attempt failed.
   bool AvoidNewVersion_ = false; ///< The new version has failed this call.
   bool FreshConnection_ = false;
   int Uncertain_ = 0; ///< Attempts that an upstream may have acted on.
--- /dev/null
+++ b/tests/harness.cpp
@@ -0,0 +1,510 @@
+// Processes, relay and requests of the end-to-end tests.
+#include "harness.h"
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <fcntl.h>
+#include <filesystem>
+#include <fmt/format.h>
+#include <fstream>
+#include <future>
+#include <sstream>
+#include <sys/wait.h>
+#include <unistd.h>
+#include <xxhash.h>
+
+namespace endivewharf::harness {
+
+namespace {
+
+constexpr Millis PollPeriod = 20; // ms
+constexpr int FirstPort = 10000;
+constexpr int PortsPerTest = 64;
+constexpr int PortRanges = 300;
+constexpr const char *Account = "key-one";
+
+std::string binary(const char *Name) {
+  return std::string(BINARY_DIR) + "/" + Name;
+}
+
+const std::vector<std::string> &centres() {
+  static const std::vector<std::string> Names = {"north", "south", "west"};
+  return Names;
+}
+
+std::string local(int Port) { return fmt::format("127.0.0.1:{}", Port); }
+
+} // namespace
+
+int freePort() {
+  // Each test process has a range of its own, below the ports that the system
+  // gives to outgoing connections.
+  static int Next = FirstPort + getpid() % PortRanges * PortsPerTest;
+  asio::io_context Io;
+  for (;; ++Next) {
+    asio::ip::tcp::acceptor Probe(Io);
+    asio::error_code Error;
+    Probe.open(asio::ip::tcp::v4());
+    Probe.bind(
+        {asio::ip::make_address("127.0.0.1"), static_cast<std::uint16_t>(Next)},
+        Error);
+    if (!Error)
+      return Next++;
+  }
+}
+
+//===-- Child
+//--------------------------------------------------------------===//
+
+Child::Child(std::vector<std::string> Command, const std::string &LogFile) {
+  Pid_ = fork();
+  if (Pid_ != 0)
+    return;
+  const int Log = open(LogFile.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
+  dup2(Log, 1);
+  dup2(Log, 2);
+  std::vector<char *> Arguments;
+  for (std::string &Item : Command)
+    Arguments.push_back(Item.data());
+  Arguments.push_back(nullptr);
+  execv(Arguments[0], Arguments.data());
+  _exit(127);
+}
+
+Child::~Child() {
+  if (ended())
+    return;
+  kill(Pid_, SIGKILL);
+  waitpid(Pid_, nullptr, 0);
+}
+
+void Child::signal(int Number) const { kill(Pid_, Number); }
+
+std::optional<int> Child::ended() {
+  int Status = 0;
+  if (!Status_ && waitpid(Pid_, &Status, WNOHANG) == Pid_)
+    Status_ = WIFEXITED(Status) ? WEXITSTATUS(Status) : 128 + WTERMSIG(Status);
+  return Status_;
+}
+
+//===-- Relay
+//--------------------------------------------------------------===//
+
+struct Relay::Pipe {
+  explicit Pipe(asio::io_context &Io) : Near_(Io), Far_(Io) {}
+  asio::ip::tcp::socket Near_;
+  asio::ip::tcp::socket Far_;
+  std::array<char, 16384> Forth_{};
+  std::array<char, 16384> Back_{};
+  bool Silent_ = false;
+};
+
+Relay::Relay(int Target)
+    : Target_(Target), Port_(0),
+      Acceptor_(Io_, {asio::ip::make_address("127.0.0.1"), 0}) {
+  Port_ = Acceptor_.local_endpoint().port();
+  accept();
+  Thread_ = std::thread([this] { Io_.run(); });
+}
+
+Relay::~Relay() {
+  Io_.stop();
+  Thread_.join();
+}
+
+void Relay::accept() {
+  auto P = std::make_shared<Pipe>(Io_);
+  Acceptor_.async_accept(P->Near_, [this, P](const asio::error_code &Error) {
+    if (Error)
+      return;
+    Pipes_.push_back(P);
+    P->Far_.async_connect({asio::ip::make_address("127.0.0.1"),
+                           static_cast<std::uint16_t>(Target_)},
+                          [this, P](const asio::error_code &Failed) {
+                            if (Failed)
+                              return; // both ends close
+                            pump(P, true);
+                            pump(P, false);
+                          });
+    accept();
+  });
+}
+
+void Relay::pump(const std::shared_ptr<Pipe> &P, bool Forth) {
+  auto &From = Forth ? P->Near_ : P->Far_;
+  auto &To = Forth ? P->Far_ : P->Near_;
+  auto &Buffer = Forth ? P->Forth_ : P->Back_;
+  From.async_read_some(asio::buffer(Buffer), [this, P, Forth, &To, &Buffer](
+                                                 const asio::error_code &Error,
+                                                 std::size_t Size) {
+    if (P->Silent_)
+      return; // what came is lost, nobody is told
+    if (Error) {
+      asio::error_code Ignored;
+      P->Near_.close(Ignored);
+      P->Far_.close(Ignored);
+      return;
+    }
+    asio::async_write(
+        To, asio::buffer(Buffer.data(), Size),
+        [this, P, Forth](const asio::error_code &Failed, std::size_t) {
+          if (!Failed && !P->Silent_)
+            pump(P, Forth);
+        });
+  });
+}
+
+void Relay::silence() {
+  std::promise<void> Done;
+  asio::post(Io_, [this, &Done] {
+    for (const auto &Weak : Pipes_)
+      if (auto P = Weak.lock()) {
+        P->Silent_ = true;
+        Silent_.push_back(P);
+      }
+    Pipes_.clear();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
+//===-- Requests
+//-----------------------------------------------------------===//
+
+HttpAnswer http(const std::string &Method, const std::string &Url,
+                const std::string &Body,
+                const std::vector<std::string> &Headers) {
+  asio::io_context Io;
+  HttpClient Client(Io);
+  HttpAnswer Answer;
+  HttpRequest Request;
+  Request.Method_ = Method;
+  Request.Url_ = Url;
+  Request.Body_ = Body;
+  Request.Headers_ = Headers;
+  Request.TotalLimit_ = 15000;
+  Client.start(
+      std::move(Request),
+      [&](int, std::string_view Bytes) {
+        Answer.Body_.append(Bytes);
+        return true;
+      },
+      [&](const HttpResult &Result) {
+        if (Result.End_ == TransferEnd::Complete)
+          Answer.Status_ = Result.Status_;
+        Io.stop();
+      });
+  Io.run();
+  return Answer;
+}
+
+bool waitFor(const std::function<bool()> &Condition, Millis Limit) {
+  const Millis Until = monotonicNow() + Limit;
+  while (monotonicNow() < Until) {
+    if (Condition())
+      return true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(PollPeriod));
+  }
+  return Condition();
+}
+
+//===-- Cluster
+//------------------------------------------------------------===//
+
+void ClusterTest::startStandin(const std::string &Name,
+                               std::vector<std::string> Arguments) {
+  Arguments.insert(Arguments.begin(), binary("standin"));
+  Children_[Name] =
+      std::make_unique<Child>(Arguments, Folder_ + "/" + Name + ".log");
+}
+
+void ClusterTest::start(const ClusterOptions &Options) {
+  const auto *Info = ::testing::UnitTest::GetInstance()->current_test_info();
+  Folder_ = (std::filesystem::temp_directory_path() /
+             fmt::format("endivewharf-{}-{}", Info->name(), getpid()))
+                .string();
+  std::filesystem::create_directories(Folder_);
+  Client_ = std::make_unique<HttpClient>(Io_);
+  Guard_ = std::make_unique<
+      asio::executor_work_guard<asio::io_context::executor_type>>(
+      asio::make_work_guard(Io_));
+  Thread_ = std::thread([this] { Io_.run(); });
+
+  LogPort_ = freePort();
+  HostsPort_ = freePort();
+  CloudPort_ = freePort();
+  startStandin("log", {"--kind=log", fmt::format("--port={}", LogPort_)});
+  startStandin("hosts", {"--kind=hosts", fmt::format("--port={}", HostsPort_),
+                         "--lag_ms=0"});
+  startStandin("cloud", {"--kind=cloud", fmt::format("--port={}", CloudPort_)});
+  if (Options.RelayLog_)
+    LogRelay_ = std::make_unique<Relay>(LogPort_);
+  for (int I = 0; I < Options.Engines_; ++I) {
+    EnginePorts_.push_back(freePort());
+    startStandin(fmt::format("engine-{}", I),
+                 {"--kind=engine", fmt::format("--port={}", EnginePorts_[I]),
+                  "--models=m@v1",
+                  fmt::format("--token_ms={}", Options.TokenMs_)});
+    if (Options.RelayEngines_)
+      EngineRelays_.push_back(std::make_unique<Relay>(EnginePorts_[I]));
+  }
+  for (int I = 0; I < 3; ++I) {
+    ServicePorts_.push_back(freePort());
+    startStandin(fmt::format("service-{}", I),
+                 {"--kind=plain", fmt::format("--port={}", ServicePorts_[I])});
+  }
+  ASSERT_TRUE(waitFor([this] {
+    return http("GET", "http://" + local(HostsPort_) + "/hosts").Status_ == 200;
+  }));
+  publishHosts();
+  ASSERT_TRUE(waitFor([this] {
+    return http("GET", "http://" + local(LogPort_) + "/read").Status_ == 200;
+  }));
+  const Json Config = {
+      {"type", "config"},
+      {"base", -1},
+      {"text", fmt::format("[account one]\nkey = {}\nrate = 10000\n"
+                           "max_in_flight = 10000\n[model m]\nversion = v1\n"
+                           "[service desk]\nunrepeatable = POST /bookings\n",
+                           Account)}};
+  http("POST", "http://" + local(LogPort_) + "/append",
+       Json{{"records", Json::array({Config.dump()})}}.dump());
+  for (int I = 0; I < 4; ++I) {
+    EntryPorts_.push_back(freePort());
+    OperatorPorts_.push_back(freePort());
+    PeerPorts_.push_back(freePort());
+    if (Options.RelayPeers_)
+      PeerRelays_.push_back(std::make_unique<Relay>(PeerPorts_[I]));
+  }
+  for (int I = 0; I < 4; ++I) {
+    std::ofstream File(fmt::format("{}/entry-{}.ini", Folder_, I));
+    File << fmt::format(
+        "[entry]\nname = entry-{}\ndata_centre = {}\nzone = z{}\n"
+        "listen = {}\noperator_listen = {}\npeer_listen = {}\n"
+        "[platform]\nlog = http://{}\nhosts = http://{}\ncloud = http://{}\n"
+        "[limits]\n{}\n",
+        I, centres()[I % 3], I, local(EntryPorts_[I]), local(OperatorPorts_[I]),
+        local(PeerPorts_[I]), local(LogRelay_ ? LogRelay_->port() : LogPort_),
+        local(HostsPort_), local(CloudPort_), Options.Limits_);
+    for (int J = 0; J < 4; ++J)
+      if (J != I)
+        File << fmt::format(
+            "[peer entry-{}]\naddress = {}\ndata_centre = {}\nzone = z{}\n", J,
+            local(Options.RelayPeers_ ? PeerRelays_[J]->port() : PeerPorts_[J]),
+            centres()[J % 3], J);
+  }
+  for (int I = 0; I < 4; ++I)
+    startEntry(I);
+  for (int I = 0; I < 4; ++I)
+    waitReady(I);
+}
+
+void ClusterTest::TearDown() {
+  const bool Failed = HasFailure();
+  for (auto &[Name, Running] : Children_)
+    if (Running)
+      Running->signal(SIGCONT);
+  Children_.clear();
+  EngineRelays_.clear();
+  PeerRelays_.clear();
+  LogRelay_.reset();
+  if (Thread_.joinable()) {
+    Guard_.reset();
+    Io_.stop();
+    Thread_.join();
+  }
+  Client_.reset();
+  if (!Failed)
+    std::filesystem::remove_all(Folder_);
+  else
+    fmt::print("logs are in {}\n", Folder_);
+}
+
+void ClusterTest::startEntry(int Index) {
+  const std::string Name = fmt::format("entry-{}", Index);
+  Children_[Name].reset();
+  Children_[Name] = std::make_unique<Child>(
+      std::vector<std::string>{
+          binary("endivewharf"), "serve",
+          fmt::format("--settings={}/{}.ini", Folder_, Name)},
+      Folder_ + "/" + Name + ".log");
+}
+
+void ClusterTest::killEntry(int Index) {
+  Children_[fmt::format("entry-{}", Index)].reset();
+}
+
+void ClusterTest::waitReady(int Index) {
+  ASSERT_TRUE(waitFor([&] {
+    if (http("GET", "http://" + address(Index) + "/readyz").Status_ != 200)
+      return false;
+    const Json Dump = dump(Index);
+    // Every engine that lives has told what it has loaded.
+    std::size_t Loaded = 0;
+    for (const Json &U : Dump["upstreams"])
+      Loaded += U["loaded"].empty() ? 0 : 1;
+    std::size_t Living = 0;
+    for (std::size_t I = 0; I < EnginePorts_.size(); ++I)
+      Living += Children_.count(fmt::format("engine-{}", I));
+    return Loaded >= Living;
+  })) << "entry-"
+      << Index;
+}
+
+void ClusterTest::publishHosts(const std::vector<std::string> &Leaving) {
+  Json Hosts = Json::array();
+  const auto Add = [&](const std::string &Name, int Port, int I,
+                       const std::string &Service) {
+    Json Row = {{"name", Name},
+                {"incarnation", 1},
+                {"address", "http://" + local(Port)},
+                {"data_centre", centres()[I % 3]},
+                {"zone", fmt::format("z{}", I)},
+                {"checks_epoch", true}};
+    if (!Service.empty())
+      Row["service"] = Service;
+    Row["leaving"] =
+        std::find(Leaving.begin(), Leaving.end(), Name) != Leaving.end();
+    Hosts.push_back(Row);
+  };
+  for (int I = 0; I < static_cast<int>(EnginePorts_.size()); ++I)
+    Add(fmt::format("engine-{}", I),
+        EngineRelays_.empty() ? EnginePorts_[I] : EngineRelays_[I]->port(), I,
+        "");
+  for (int I = 0; I < static_cast<int>(ServicePorts_.size()); ++I)
+    Add(fmt::format("service-{}", I), ServicePorts_[I], I, "desk");
+  control(HostsPort_, {{"hosts", Hosts}});
+}
+
+std::string ClusterTest::address(int Entry) const {
+  return local(EntryPorts_[Entry]);
+}
+
+std::vector<std::string> ClusterTest::addressesFrom(int First) const {
+  std::vector<std::string> Addresses;
+  for (int I = 0; I < 4; ++I)
+    Addresses.push_back(address((First + I) % 4));
+  return Addresses;
+}
+
+Json ClusterTest::dump(int Entry) const {
+  const Json Body =
+      http("GET", "http://" + local(OperatorPorts_[Entry]) + "/dump").json();
+  return Body.is_object()
+             ? Body
+             : Json{{"upstreams", Json::array()}, {"calls", Json::array()}};
+}
+
+void ClusterTest::control(int Port, const Json &Body) const {
+  http("POST", "http://" + local(Port) + "/control", Body.dump());
+}
+
+void ClusterTest::notice(const std::string &Host, Millis TimeLeft) const {
+  Json Body = {{"name", Host}, {"incarnation", 1}, {"time_left_ms", TimeLeft}};
+  control(CloudPort_, {{"notice", Body}});
+}
+
+std::shared_ptr<std::optional<CallerResult>>
+ClusterTest::begin(int Entry, CallerRequest Request) {
+  auto Result = std::make_shared<std::optional<CallerResult>>();
+  Request.ApiKey_ = Request.ApiKey_.empty() ? Account : Request.ApiKey_;
+  asio::post(Io_, [this, Entry, Request, Result] {
+    runCaller(Io_, *Client_, addressesFrom(Entry), Request,
+              [Result](const CallerResult &R) { *Result = R; });
+  });
+  return Result;
+}
+
+CallerResult
+ClusterTest::finish(const std::shared_ptr<std::optional<CallerResult>> &R) {
+  const auto HasEnded = [this, &R] {
+    std::promise<bool> Ended;
+    asio::post(Io_, [&] { Ended.set_value(R->has_value()); });
+    return Ended.get_future().get();
+  };
+  EXPECT_TRUE(waitFor(HasEnded, 40000)) << "no outcome";
+  return R->value_or(CallerResult{});
+}
+
+CallerResult ClusterTest::ask(int Entry, CallerRequest Request) {
+  return finish(begin(Entry, std::move(Request)));
+}
+
+CallerRequest ClusterTest::completion(const std::string &Prompt, int Tokens) {
+  static int Number = 0;
+  CallerRequest Request;
+  Request.RequestId_ = fmt::format("test-{}", ++Number);
+  Request.Model_ = "m";
+  Request.Prompt_ = Prompt;
+  Request.MaxTokens_ = Tokens;
+  return Request;
+}
+
+CallerRequest ClusterTest::booking(const std::string &Key) {
+  CallerRequest Request;
+  Request.ServicePath_ = "/svc/desk/bookings";
+  Request.IdempotencyKey_ = Key;
+  Request.Body_ = "{}";
+  Request.RetryRefused_ = true;
+  return Request;
+}
+
+int ClusterTest::executions(const std::string &Key) const {
+  int Times = 0;
+  for (const int Port : ServicePorts_) {
+    const Json Body =
+        http("GET", "http://" + local(Port) + "/executions").json();
+    if (Body.is_object())
+      Times += Body.value(Key, 0);
+  }
+  return Times;
+}
+
+int ClusterTest::engineOf(int Entry) const {
+  const Json Dump = dump(Entry);
+  for (const Json &U : Dump["upstreams"]) {
+    const std::string Name = U["name"];
+    if (U["in_flight"] > 0 && Name.rfind("engine-", 0) == 0)
+      return std::stoi(Name.substr(7));
+  }
+  return -1;
+}
+
+std::int64_t ClusterTest::engineStarts(int Engine) const {
+  const Json Body =
+      http("GET", "http://" + local(EnginePorts_[Engine]) + "/stats").json();
+  return Body.is_object() ? Body.value("started", std::int64_t{0}) : 0;
+}
+
+int ClusterTest::runCommand(const std::vector<std::string> &Arguments,
+                            std::string *Output) const {
+  std::vector<std::string> Command = {binary("endivewharf")};
+  Command.insert(Command.end(), Arguments.begin(), Arguments.end());
+  const std::string File =
+      fmt::format("{}/command-{}.log", Folder_, monotonicNow());
+  Child Running(Command, File);
+  waitFor([&] { return Running.ended().has_value(); }, 30000);
+  if (Output != nullptr) {
+    std::ifstream Stream(File);
+    std::stringstream Text;
+    Text << Stream.rdbuf();
+    *Output = Text.str();
+  }
+  return Running.ended().value_or(-1);
+}
+
+void ClusterTest::expectWhole(const CallerResult &R, const std::string &Prompt,
+                              int Tokens) const {
+  const std::string Whole = "user\n" + Prompt + "\n";
+  const std::uint64_t Hash = XXH3_64bits(Whole.data(), Whole.size());
+  std::string Expected;
+  for (int I = 0; I < Tokens; ++I)
+    Expected += fmt::format(
+        "w{} ", (Hash + static_cast<std::uint64_t>(I) * 7919) % 99991);
+  EXPECT_TRUE(R.Answered_) << R.ErrorType_ << " " << R.Status_;
+  EXPECT_FALSE(R.Wrong_);
+  EXPECT_EQ(R.Text_, Expected);
+}
+
+} // namespace endivewharf::harness
--- /dev/null
+++ b/tests/harness.h
@@ -0,0 +1,148 @@
+// Real processes for end-to-end tests: starts stand-ins and entry processes on
+// free ports, sends requests, makes faults, waits for conditions.
+#pragma once
+
+#include "caller.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <map>
+#include <nlohmann/json.hpp>
+#include <optional>
+#include <string>
+#include <sys/types.h>
+#include <thread>
+#include <vector>
+
+namespace endivewharf::harness {
+
+using Json = nlohmann::json;
+
+int freePort();
+
+/// One child process; killed when it goes out of scope.
+class Child {
+public:
+  Child(std::vector<std::string> Command, const std::string &LogFile);
+  ~Child();
+  Child(const Child &) = delete;
+  Child &operator=(const Child &) = delete;
+
+  void signal(int Number) const;
+  /// @return exit status, if the process has ended
+  std::optional<int> ended();
+
+private:
+  pid_t Pid_ = -1;
+  std::optional<int> Status_;
+};
+
+/// TCP relay whose open connections can go silent for good while new ones
+/// work.
+class Relay {
+public:
+  explicit Relay(int Target);
+  ~Relay();
+  Relay(const Relay &) = delete;
+  Relay &operator=(const Relay &) = delete;
+
+  int port() const { return Port_; }
+  /// Stops forwarding on all connections that are open now.
+  void silence();
+
+private:
+  struct Pipe;
+  void accept();
+  void pump(const std::shared_ptr<Pipe> &P, bool Forth);
+
+  int Target_;
+  int Port_;
+  asio::io_context Io_;
+  asio::ip::tcp::acceptor Acceptor_;
+  std::vector<std::weak_ptr<Pipe>> Pipes_;
+  std::vector<std::shared_ptr<Pipe>> Silent_;
+  std::thread Thread_;
+};
+
+struct HttpAnswer {
+  int Status_ = 0; ///< 0: no answer.
+  std::string Body_;
+  Json json() const { return Json::parse(Body_, nullptr, false); }
+};
+
+HttpAnswer http(const std::string &Method, const std::string &Url,
+                const std::string &Body = "",
+                const std::vector<std::string> &Headers = {});
+
+/// Waits until a condition holds.
+/// @return false if it did not within the limit
+bool waitFor(const std::function<bool()> &Condition, Millis Limit = 20000);
+
+/// Four entry processes in three data centres with all they need.
+class ClusterTest : public ::testing::Test {
+protected:
+  struct ClusterOptions {
+    int Engines_ = 6;
+    double TokenMs_ = 5;
+    std::string Limits_; ///< Lines of the [limits] section.
+    bool RelayEngines_ = false;
+    bool RelayPeers_ = false;
+    bool RelayLog_ = false;
+  };
+
+  void start() { start({}); }
+  void start(const ClusterOptions &Options);
+  void TearDown() override;
+
+  void startEntry(int Index);
+  void killEntry(int Index);
+  void waitReady(int Index);
+  void publishHosts(const std::vector<std::string> &Leaving = {});
+
+  std::string address(int Entry) const;
+  std::vector<std::string> addressesFrom(int First) const;
+  Json dump(int Entry) const;
+  void control(int Port, const Json &Body) const;
+  void notice(const std::string &Host, Millis TimeLeft) const;
+
+  /// Begins a request; `finish` waits for its outcome.
+  std::shared_ptr<std::optional<CallerResult>> begin(int Entry,
+                                                     CallerRequest Request);
+  CallerResult finish(const std::shared_ptr<std::optional<CallerResult>> &R);
+  CallerResult ask(int Entry, CallerRequest Request);
+  static CallerRequest completion(const std::string &Prompt, int Tokens);
+  static CallerRequest booking(const std::string &Key);
+  int executions(const std::string &Key) const;
+  int engineOf(int Entry) const; ///< Engine with a stream of the process.
+  std::int64_t engineStarts(int Engine) const;
+  int runCommand(const std::vector<std::string> &Arguments,
+                 std::string *Output = nullptr) const;
+  void expectWhole(const CallerResult &R, const std::string &Prompt,
+                   int Tokens) const;
+
+  std::string Folder_;
+  int LogPort_ = 0;
+  int HostsPort_ = 0;
+  int CloudPort_ = 0;
+  std::vector<int> EnginePorts_;
+  std::vector<int> ServicePorts_;
+  std::vector<int> EntryPorts_;
+  std::vector<int> OperatorPorts_;
+  std::vector<int> PeerPorts_;
+  std::vector<std::unique_ptr<Relay>> EngineRelays_;
+  std::vector<std::unique_ptr<Relay>> PeerRelays_;
+  std::unique_ptr<Relay> LogRelay_;
+  std::map<std::string, std::unique_ptr<Child>> Children_;
+
+private:
+  void startStandin(const std::string &Name,
+                    std::vector<std::string> Arguments);
+
+  asio::io_context Io_;
+  std::unique_ptr<HttpClient> Client_;
+  std::unique_ptr<asio::executor_work_guard<asio::io_context::executor_type>>
+      Guard_;
+  std::thread Thread_;
+};
+
+} // namespace endivewharf::harness
