Benches of decisions, capacity slopes, chaos; "not run" needs the claim

bench/ drives the reducer with fakes: routing, overload, release, reclaim, membership, chaos, capacity, each against its baselines in the same run.

Cause: a log read that began after the request arrived counted as proof, but the other's claim can be appended behind it. Ruled out: released claims. Change: only a process whose own claim holds the key says "not run"; all else is "unknown", also refusals at the door of calls with a key. The model of claims has the rule and the mutation EARLY_NOT_RUN.

Faults of the bench itself, mended: versions counted from 0 in place of none, a restart of a living process, resumption at a dead one.

--- /dev/null
+++ b/bench/main.cpp
@@ -0,0 +1,32 @@
+// Benches of decisions: the reducer with fakes, our choice and its baselines
+// in the same run with the same seeds.
+#include "benches.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+#include <map>
+
+DEFINE_int32(seeds, 5, "runs with different seeds");
+DEFINE_string(json_file, "", "also write the figures as JSON");
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  using namespace endivewharf::bench;
+  const std::map<std::string, void (*)(int)> Benches = {
+      {"routing", benchRouting},
+      {"overload", benchOverload},
+      {"release", benchRelease},
+      {"reclaim", benchReclaim},
+      {"membership", benchMembership},
+      {"capacity", benchCapacity},
+      {"chaos", benchChaos}};
+  const auto Found = Benches.find(Argc > 1 ? Argv[1] : "");
+  if (Found == Benches.end()) {
+    for (const auto &[Name, Run] : Benches)
+      fmt::print("bench {}\n", Name);
+    return 2;
+  }
+  Found->second(FLAGS_seeds);
+  writeJson(FLAGS_json_file);
+  return failed() ? 1 : 0;
+}
--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -114,8 +114,7 @@
   publish(ConfigRecord{Base, Text});
 }
 
-//===-- Time
-//-----------------------------------------------------------------===//
+// --- Time ---
 
 void World::at(Millis When, std::function<void()> Then) {
   Queue_.push({When, NextOrder_++, std::move(Then)});
@@ -175,8 +174,15 @@
   }
 }
 
-//===-- Effects
-//----------------------------------------------------------------===//
+void World::inject(int Index,
+                   const std::function<void(State &, Effects &)> &Run) {
+  Effects Out;
+  Run(Entries_[Index].State_, Out);
+  for (const Effect &E : Out)
+    carryOut(Index, E);
+}
+
+// --- Effects ---
 
 namespace {
 
@@ -401,8 +407,7 @@
   });
 }
 
-//===-- Engines and services
-//----------------------------------------------------===//
+// --- Engines and services ---
 
 void World::startAttempt(int Index, const StartAttempt &E) {
   const std::uint64_t Life = Entries_[Index].State_.Self_.Incarnation_;
@@ -527,14 +532,15 @@
   const auto Uncached = static_cast<std::int64_t>(Blocks.size() - Cached);
   Engine.BlocksAsked_ += static_cast<std::int64_t>(Blocks.size());
   Engine.BlocksComputed_ += Uncached;
-  Engine.TokensComputedAgain_ += Job.Start_.NextIndex_;
+  const std::int64_t First = Options_.IgnoreResume_ ? 0 : Job.Start_.NextIndex_;
+  Engine.TokensGeneratedAgain_ += Job.Start_.NextIndex_ - First;
   const double Slowdown = F == nullptr ? 1 : F->Slowdown_;
   const double Prefill = static_cast<double>(Uncached) *
                          Engine.Shape_.PrefillMsPerBlock_ * Slowdown;
   const int Which = engineAt(Engine.Row_.Address_);
   at(Now_ + UpstreamDelay + static_cast<Millis>(Prefill),
-     [this, Which, Job, Slowdown, Blocks = Uncached] {
-       nextToken(Which, Job, Job.Start_.NextIndex_, Slowdown, Blocks);
+     [this, Which, Job, Slowdown, First, Blocks = Uncached] {
+       nextToken(Which, Job, First, Slowdown, Blocks);
      });
 }
 
@@ -575,8 +581,7 @@
   startJobs(Engine);
 }
 
-//===-- Callers
-//------------------------------------------------------------------===//
+// --- Callers ---
 
 CallRequest World::completion(std::string Key, std::string Model,
                               std::string Prompt, std::int64_t Tokens) {
@@ -604,6 +609,14 @@
   return Request;
 }
 
+bool World::refuseDead(std::size_t Which) {
+  const Outcome &O = Outcomes_[Which];
+  if (Entries_[O.Entry_].Alive_)
+    return false;
+  end(O.Entry_, O.Call_, [](Outcome &Dead) { Dead.Cut_ = true; });
+  return true;
+}
+
 std::size_t World::send(int Index, CallRequest Request) {
   Outcome New;
   New.Entry_ = Index;
@@ -615,13 +628,9 @@
   Outcomes_.push_back(New);
   const std::size_t Which = Outcomes_.size() - 1;
   OutcomeByCall_[{Index, New.Call_}] = Which;
-  if (!Entries_[Index].Alive_) {
-    Outcomes_[Which].Cut_ = true;
-    end(Index, New.Call_, [](Outcome &) {});
-    return Which;
-  }
-  deliver(Index, Entries_[Index].State_.Self_.Incarnation_,
-          RequestArrived{New.Call_, std::move(Request)});
+  if (!refuseDead(Which))
+    deliver(Index, Entries_[Index].State_.Self_.Incarnation_,
+            RequestArrived{New.Call_, std::move(Request)});
   return Which;
 }
 
@@ -636,9 +645,10 @@
   Outcomes_.push_back(New);
   const std::size_t Which = Outcomes_.size() - 1;
   OutcomeByCall_[{Index, New.Call_}] = Which;
-  deliver(Index, Entries_[Index].State_.Self_.Incarnation_,
-          ResumeArrived{New.Call_, New.Request_.RequestId_,
-                        New.Request_.ApiKey_, New.Tokens_});
+  if (!refuseDead(Which))
+    deliver(Index, Entries_[Index].State_.Self_.Incarnation_,
+            ResumeArrived{New.Call_, New.Request_.RequestId_,
+                          New.Request_.ApiKey_, New.Tokens_});
   return Which;
 }
 
@@ -677,8 +687,7 @@
     OnEnded_(Which);
 }
 
-//===-- Faults
-//--------------------------------------------------------------------===//
+// --- Faults ---
 
 void World::kill(int Index) {
   Entries_[Index].Alive_ = false;
@@ -691,6 +700,8 @@
 }
 
 void World::restart(int Index) {
+  if (Entries_[Index].Alive_)
+    kill(Index);
   Entry New;
   New.State_ = makeState(settingsOf(Index),
                          Entries_[Index].State_.Self_.Incarnation_ + 1000);
--- a/bench/world.h
+++ b/bench/world.h
@@ -48,7 +48,8 @@
   Millis HostLag_ = 200;
   Millis ReportLag_ = 200;
   bool CountBytes_ = false;
-  Settings Base_; ///< Limits of all entry processes.
+  bool IgnoreResume_ = false; ///< Engines start each attempt from nothing.
+  Settings Base_;             ///< Limits of all entry processes.
 };
 
 /// What a caller got for one request.
@@ -92,7 +93,7 @@
   std::unordered_map<std::uint64_t, std::list<std::uint64_t>::iterator> Cache_;
   std::int64_t BlocksComputed_ = 0;
   std::int64_t BlocksAsked_ = 0;
-  std::int64_t TokensComputedAgain_ = 0;
+  std::int64_t TokensGeneratedAgain_ = 0;
   std::int64_t Attempts_ = 0;
   std::map<std::string, std::int64_t> AttemptsByVersion_;
   Millis LastStart_ = -1;
@@ -152,6 +153,9 @@
   static CallRequest booking(std::string Key, std::string Service,
                              std::string IdempotencyKey);
 
+  /// Runs code on a process's state as if within an event.
+  void inject(int Entry, const std::function<void(State &, Effects &)> &Run);
+
   // Faults.
   void kill(int Entry);
   void restart(int Entry);
@@ -218,6 +222,7 @@
                               const StartAttempt &Start) const;
   int engineAt(const std::string &Address) const;
   std::size_t *outcomeOf(int Entry, CallId Call);
+  bool refuseDead(std::size_t Which);
   void onToken(int Entry, const SendToken &E);
   void end(int Entry, CallId Call, const std::function<void(Outcome &)> &How);
   Settings settingsOf(int Index) const;
--- a/spec/claims.pml
+++ b/spec/claims.pml
@@ -4,9 +4,10 @@
  * append may be carried out twice (a reply was lost and it was repeated). A
  * process may stop between any two steps, for any time, and may die.
  *
- * Invariants: the call runs at most once; a call answered "not run" never ran.
+ * Invariants: the call runs at most once; a call answered "not run" never ran,
+ * and no other had run the key by then.
  * Mutations that have to be caught: TAKEOVER, RETRY_LOST, RELEASE_SENT,
- * NO_READ.
+ * NO_READ, EARLY_NOT_RUN.
  */
 #define ENTRIES 2
 #define LOG 7
@@ -37,7 +38,8 @@
 
 inline answerNotRun(id) {
   saidNotRun[id] = true;
-  assert(!ran[id])
+  assert(!ran[id]);
+  assert(executions == 0)
 }
 
 inline readOne() {
@@ -97,7 +99,13 @@
 #endif
   :: atomic { won && !sent -> execute(mine); sent = true; won = false }
   :: atomic { won && !sent -> append(release, mine); answerNotRun(mine); won = false; mine = 0 }
-  :: atomic { waiting -> answerNotRun(mine); waiting = false; mine = 0 }
+     /* gives up before its claim is read: the answer is "unknown" */
+  :: atomic { waiting ->
+#ifdef EARLY_NOT_RUN
+       answerNotRun(mine);
+#endif
+       waiting = false; mine = 0
+     }
 #ifdef TAKEOVER
   :: atomic { owner != 0 && owner != mine && !sent -> execute(owner); sent = true }
 #endif
--- a/src/caller.cpp
+++ b/src/caller.cpp
@@ -32,6 +32,7 @@
 
   void start() {
     Result_.StartedAt_ = monotonicNow();
+    Started_ = preciseNowMs();
     Deadline_ = Result_.StartedAt_ + Request_.TimeLimit_;
     exchange();
   }
@@ -156,7 +157,7 @@
     Result_.Text_ += Delta["content"].get<std::string>();
     const double Now = preciseNowMs();
     if (Result_.FirstTokenMs_ < 0)
-      Result_.FirstTokenMs_ = monotonicNow() - Result_.StartedAt_;
+      Result_.FirstTokenMs_ = Now - Started_;
     else
       Result_.GapsMs_.push_back(Now - LastToken_);
     LastToken_ = Now;
@@ -246,6 +247,7 @@
   bool Failed_ = false;
   bool Moved_ = false;
   std::int64_t Index_ = -1;
+  double Started_ = 0;
   double LastToken_ = 0;
   std::string Buffer_;
   std::string Body_;
--- a/src/caller.h
+++ b/src/caller.h
@@ -42,7 +42,7 @@
   int Resumes_ = 0;
   std::int64_t Tokens_ = 0;
   Millis StartedAt_ = 0;
-  Millis FirstTokenMs_ = -1;
+  double FirstTokenMs_ = -1;
   Millis TotalMs_ = 0;
   std::vector<double> GapsMs_; ///< Between tokens.
 };
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -395,6 +395,11 @@
   count(S, "requests");
   Call New = makeCall(S, E.Call_, E.Request_);
   if (auto Error = checkCall(S, New)) {
+    // Another process may have run the call's key: a refusal for want of room
+    // or readiness can't tell. One for the request's own fault can.
+    const bool OwnFault = httpStatus(Error->Kind_) < 429;
+    if (!OwnFault && !New.Request_.IdempotencyKey_.empty())
+      Error->Run_ = keyRunState(S, New);
     count(S, "refused");
     remember(S, New.RequestId_, fmt::format("refused: {}", Error->Detail_));
     Out.push_back(RefuseCall{E.Call_, New.RequestId_, *Error});
--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -12,8 +12,8 @@
 
 namespace {
 
-constexpr Millis LogRetryAfter = 1000;          // ms
-constexpr std::size_t MaxKeptReply = 16 * 1024; // bytes of a reply in the log
+constexpr Millis LogRetryAfter = 1000;      // ms
+constexpr std::size_t MaxKeptReply = 16384; // bytes of a reply in the log
 
 /// Keys of different accounts never meet.
 std::string tableKey(const Call &C) {
@@ -180,14 +180,12 @@
 }
 
 RunState keyRunState(const State &S, const Call &C) {
+  // Only who holds the key can tell that nobody has run it: another process's
+  // claim may be in the log behind what was read here.
   const auto Found = S.Claims_.Keys_.find(tableKey(C));
-  if (Found != S.Claims_.Keys_.end())
-    return !C.ClaimId_.empty() && Found->second.Claim_.ClaimId_ == C.ClaimId_
-               ? RunState::NotRun
-               : RunState::Unknown;
-  // Another process may have run the key unless the log was read to its end
-  // after this call came in.
-  return S.Log_.FreshAt_ >= C.ArrivedAt_ ? RunState::NotRun : RunState::Unknown;
+  const bool Holds = Found != S.Claims_.Keys_.end() && !C.ClaimId_.empty() &&
+                     Found->second.Claim_.ClaimId_ == C.ClaimId_;
+  return Holds ? RunState::NotRun : RunState::Unknown;
 }
 
 void forgetClaims(State &S) {
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -16,7 +16,7 @@
 template <typename T, typename U>
 concept Is = std::same_as<std::remove_const_t<T>, U>;
 
-//===-- Fields of each type, in the order of the compact form -------------===//
+// --- Fields of each type, in the order of the compact form ---
 
 template <Is<Life> T, typename V> void fields(T &R, V &&F) {
   F("name", R.Name_);
@@ -186,8 +186,7 @@
   fields(R, [](auto &&...) {});
 };
 
-//===-- Writing
-//-------------------------------------------------------------===//
+// --- Writing ---
 
 template <typename T> Json toArray(const T &Value);
 template <typename T> Json toObject(const T &Value);
@@ -231,7 +230,7 @@
   }
 }
 
-//===-- Reading; Json exceptions mean a wrong shape -----------------------===//
+// --- Reading; Json exceptions mean a wrong shape ---
 
 template <typename T> void readArray(const Json &From, T &To);
 template <typename T> void readObject(const Json &From, T &To);
@@ -283,7 +282,7 @@
   }
 }
 
-//===-- Types by number and name ------------------------------------------===//
+// --- Types by number and name ---
 
 constexpr std::array MessageNames = {
     "digest",   "facts",        "control",   "control_request",
--- a/src/event.h
+++ b/src/event.h
@@ -6,6 +6,7 @@
 #include "settings.h"
 
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -130,7 +131,9 @@
   std::string Version_;
 
   bool operator==(const LoadedVersion &) const = default;
-  auto operator<=>(const LoadedVersion &) const = default;
+  bool operator<(const LoadedVersion &Other) const {
+    return std::tie(Model_, Version_) < std::tie(Other.Model_, Other.Version_);
+  }
 };
 
 /// What an upstream reports of itself, with a lag.
--- a/src/load.cpp
+++ b/src/load.cpp
@@ -121,7 +121,7 @@
     Resumes_ += R.Resumes_;
     Tokens_ += R.Tokens_;
     if (R.FirstTokenMs_ >= 0)
-      FirstToken_.push_back(static_cast<double>(R.FirstTokenMs_));
+      FirstToken_.push_back(R.FirstTokenMs_);
     Gaps_.insert(Gaps_.end(), R.GapsMs_.begin(), R.GapsMs_.end());
     stopIfDone();
   }
--- a/src/messages.h
+++ b/src/messages.h
@@ -6,6 +6,7 @@
 
 #include <optional>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -17,10 +18,13 @@
   std::uint64_t Incarnation_ = 0;
 
   bool operator==(const Life &) const = default;
-  auto operator<=>(const Life &) const = default;
+  bool operator<(const Life &Other) const {
+    return std::tie(Name_, Incarnation_) <
+           std::tie(Other.Name_, Other.Incarnation_);
+  }
 };
 
-//===-- Facts that every process may add and none may take back ----------===//
+// --- Facts that every process may add and none may take back ---
 
 /// This life of a host gets no new work.
 struct LeavingFact {
@@ -35,7 +39,7 @@
   std::string Reason_;
 };
 
-//===-- Evidence for a release verdict ------------------------------------===//
+// --- Evidence for a release verdict ---
 
 /// Sums over finished attempts; only grows, so the larger one is the newer.
 struct SampleSums {
@@ -58,7 +62,7 @@
   SampleSums Sums_;
 };
 
-//===-- Messages between entry processes ----------------------------------===//
+// --- Messages between entry processes ---
 
 /// One process as others know it.
 struct MemberRow {
@@ -164,8 +168,7 @@
   PeerMessage Message_;
 };
 
-//===-- Records in the log
-//--------------------------------------------------===//
+// --- Records in the log ---
 
 /// A configuration that an operator publishes.
 struct ConfigRecord {
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -116,9 +116,12 @@
 
 /// Evidence of a move in its newest windows.
 Strata recentStrata(const State &S, const Move &M, std::int64_t Windows) {
+  const bool OwnOnly =
+      std::holds_alternative<OwnEvidenceJudge>(S.Release_.Policy_);
   Strata Result;
   for (const auto &[Key, Row] : S.Release_.Evidence_)
-    if (isOf(Row, M) && Row.Window_ > S.Release_.LastWindow_ - Windows)
+    if (isOf(Row, M) && Row.Window_ > S.Release_.LastWindow_ - Windows &&
+        (!OwnOnly || Row.Observer_ == S.Self_))
       addRow(Result, Row);
   return Result;
 }
@@ -437,7 +440,21 @@
   }
 }
 
-Verdict judge(const State &S, const Move &M) {
+namespace {
+
+/// The baseline: a bound on the error rate, and good as long as it holds.
+Verdict judgeByRate(const State &S, const Move &M, const ErrorRateJudge &Rule) {
+  Verdict Result;
+  const SampleSums New = wholeStratum(S, M).New_;
+  const double Rate = static_cast<double>(New.Failed_) /
+                      std::max(1.0, static_cast<double>(New.Count_));
+  const bool Bad = New.Count_ >= Rule.MinCount_ && Rate > Rule.MaxRate_;
+  Result.Kind_ = Bad ? VerdictKind::Bad : VerdictKind::Good;
+  Result.Reason_ = "error rate";
+  return Result;
+}
+
+Verdict judgeByTest(const State &S, const Move &M) {
   Verdict Result;
   const auto Look = [&](const Stratum &T, std::string_view Where) {
     const double Failure = failureScore(T);
@@ -472,6 +489,28 @@
   return Result;
 }
 
+/// One visitor for all ways to judge.
+struct JudgeVisitor {
+  const State &S_;
+  const Move &M_;
+
+  Verdict operator()(const PooledTestJudge &) const {
+    return judgeByTest(S_, M_);
+  }
+  Verdict operator()(const OwnEvidenceJudge &) const {
+    return judgeByTest(S_, M_);
+  }
+  Verdict operator()(const ErrorRateJudge &Rule) const {
+    return judgeByRate(S_, M_, Rule);
+  }
+};
+
+} // namespace
+
+Verdict judge(const State &S, const Move &M) {
+  return std::visit(JudgeVisitor{S, M}, S.Release_.Policy_);
+}
+
 void tickRelease(State &S, Effects &Out) {
   if (S.Now_ - S.Release_.JudgedAt_ >= JudgePeriod)
     judgeMoves(S, Out);
--- a/src/state.h
+++ b/src/state.h
@@ -16,8 +16,7 @@
 
 namespace endivewharf {
 
-//===-- Upstreams
-//----------------------------------------------------------===//
+// --- Upstreams ---
 
 /// One life of an upstream host.
 struct Upstream {
@@ -59,8 +58,7 @@
     std::variant<CostPolicy, RoundRobinPolicy, LeastInFlightPolicy,
                  TwoChoicesPolicy, PrefixHashPolicy>;
 
-//===-- Calls
-//--------------------------------------------------------------===//
+// --- Calls ---
 
 enum class CallPhase {
   Queued,      ///< Waits for an upstream.
@@ -120,8 +118,7 @@
   Millis LastProgressAt_ = 0;
 };
 
-//===-- Admission
-//-----------------------------------------------------------===//
+// --- Admission ---
 
 /// Calls of one account that wait, and its long-term rate.
 struct AccountState {
@@ -142,8 +139,7 @@
   double RetryBudget_ = 10;
 };
 
-//===-- Control plane
-//--------------------------------------------------------===//
+// --- Control plane ---
 
 struct LogState {
   LogOffset Next_ = 0;
@@ -219,7 +215,21 @@
   Millis PendingSince_ = 0;
 };
 
+/// Pooled sequential test over the evidence of all processes.
+struct PooledTestJudge {};
+/// The same test on a process's own evidence only (baseline).
+struct OwnEvidenceJudge {};
+/// Fixed steps and a bound on the error rate (baseline).
+struct ErrorRateJudge {
+  double MaxRate_ = 0.05;
+  std::int64_t MinCount_ = 20;
+};
+
+using JudgePolicy =
+    std::variant<PooledTestJudge, OwnEvidenceJudge, ErrorRateJudge>;
+
 struct ReleaseState {
+  JudgePolicy Policy_;
   LogOffset NoteVersion_ = NoOffset;
   std::map<std::string, Move> Moves_; ///< By model.
   std::map<LogOffset, std::string> RejectedNotes_;
@@ -234,8 +244,7 @@
   bool EvidenceChanged_ = false;
 };
 
-//===-- Membership
-//-----------------------------------------------------------===//
+// --- Membership ---
 
 struct Member {
   MemberRow Row_;
@@ -253,8 +262,7 @@
   Millis DigestAt_ = 0;
 };
 
-//===-- The process
-//------------------------------------------------------------===//
+// --- The process ---
 
 /// One decision with its reason, for those who ask later.
 struct Decision {
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -158,6 +158,8 @@
       return;
     }
     const std::string Model = W->Body_.value("model", "");
+    if (W->Version_.empty() && !Loaded_.empty())
+      W->Version_ = Loaded_.begin()->substr(Loaded_.begin()->find('@') + 1);
     if (Loaded_.count(Model + "@" + W->Version_) == 0) {
       W->Reply_->json(503, {{"error", {{"type", "not_loaded"}}}});
       return;
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -155,8 +155,7 @@
   EXPECT_FALSE(W.outcome(Which).Ended_);
 }
 
-//===-- A leaving upstream
-//----------------------------------------------------===//
+// --- A leaving upstream ---
 
 class LeavingTest : public WorldTest {
 protected:
@@ -220,8 +219,7 @@
   EXPECT_LT(W.Engines_[0].LastStart_, Before);
 }
 
-//===-- A planned stop
-//----------------------------------------------------------===//
+// --- A planned stop ---
 
 TEST_F(CallsTest, stop_underLoad_cutsNoRequest) {
   World &W = start();
@@ -247,8 +245,7 @@
   expectWhole(W.outcome(Again), 2000);
 }
 
-//===-- Replay
-//--------------------------------------------------------------------===//
+// --- Replay ---
 
 TEST_F(CallsTest, world_sameSeed_endsInTheSameState) {
   const auto Run = [this](std::uint64_t Seed) {
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -206,8 +206,7 @@
   }
 }
 
-//===-- The lease
-//-----------------------------------------------------------------===//
+// --- The lease ---
 
 class LeaseTest : public ControlTest {};
 
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -54,8 +54,7 @@
   }
 }
 
-//===-- Child
-//--------------------------------------------------------------===//
+// --- Child ---
 
 Child::Child(std::vector<std::string> Command, const std::string &LogFile) {
   Pid_ = fork();
@@ -88,8 +87,7 @@
   return Status_;
 }
 
-//===-- Relay
-//--------------------------------------------------------------===//
+// --- Relay ---
 
 struct Relay::Pipe {
   explicit Pipe(asio::io_context &Io) : Near_(Io), Far_(Io) {}
@@ -169,8 +167,7 @@
   Done.get_future().wait();
 }
 
-//===-- Requests
-//-----------------------------------------------------------===//
+// --- Requests ---
 
 HttpAnswer http(const std::string &Method, const std::string &Url,
                 const std::string &Body,
@@ -209,8 +206,7 @@
   return Condition();
 }
 
-//===-- Cluster
-//------------------------------------------------------------===//
+// --- Cluster ---
 
 void ClusterTest::startStandin(const std::string &Name,
                                std::vector<std::string> Arguments) {
--- a/tests/processes_test.cpp
+++ b/tests/processes_test.cpp
@@ -14,8 +14,7 @@
 
 } // namespace
 
-//===-- Accepted requests survive
-//------------------------------------------===//
+// --- Accepted requests survive ---
 
 TEST_F(ProcessTest, stream_engineKilled_isWhole) {
   start();
@@ -92,8 +91,7 @@
   expectWhole(finish(R), "long", 1000);
 }
 
-//===-- At most once
-//---------------------------------------------------------===//
+// --- At most once ---
 
 TEST_F(ProcessTest, booking_throughAllEntriesAtOnce_runsOnce) {
   start();
@@ -177,8 +175,7 @@
     EXPECT_LE(executions(fmt::format("k{}", I)), 1) << I;
 }
 
-//===-- Leaving upstreams
-//------------------------------------------------------===//
+// --- Leaving upstreams ---
 
 class LeavingProcessTest : public ClusterTest {
 protected:
@@ -213,8 +210,7 @@
   expectNoNewWork(1);
 }
 
-//===-- Planned stops
-//----------------------------------------------------------===//
+// --- Planned stops ---
 
 TEST_F(ProcessTest, rollingRestart_underLoad_failsNoCaller) {
   start();
@@ -255,8 +251,7 @@
   EXPECT_GT(All.size(), 100U);
 }
 
-//===-- Configuration
-//----------------------------------------------------------===//
+// --- Configuration ---
 
 class ConfigProcessTest : public ClusterTest {
 protected:
@@ -345,8 +340,7 @@
   EXPECT_TRUE(isEverywhere(Version));
 }
 
-//===-- Releases
-//-----------------------------------------------------------------===//
+// --- Releases ---
 
 class ReleaseProcessTest : public ConfigProcessTest {
 protected:
@@ -406,8 +400,7 @@
   EXPECT_NE(Status.find("state=taken_back"), std::string::npos) << Status;
 }
 
-//===-- Silent connections
-//-------------------------------------------------------===//
+// --- Silent connections ---
 
 class SilentTest : public ClusterTest {
 protected:
@@ -451,8 +444,7 @@
   }));
 }
 
-//===-- Bad input
-//------------------------------------------------------------------===//
+// --- Bad input ---
 
 class BadInputTest : public ClusterTest {
 protected:
