Routing by one owner per prefix; door estimates by priority; batch floor

Routing, cause: each data centre kept its own copy of every prefix, and the cost of a queue came from a report that lags by 2 s, so choices swung. Change: one owner per prefix on a ring over all data centres, credit for what other processes have put into its cache, others' load as a moving average.

Overload, cause: the estimate at the door counted calls that ran out of time as drained, and took one rate for both priorities. Change: rates and service times by priority, of answers only.

Batch floor, cause: a process with nothing but batch never had room, since other processes' interactive requests fill the slots that batch leaves free. Change: a second rule by time, from the upstreams' capacity.

--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -23,6 +23,8 @@
   double SmallAccountsServed_ = 0;
   double BatchShare_ = 0;
   double Broken_ = 0; ///< Accepted, but not answered in time.
+  double LateBatch_ = 0;
+  double LateInteractive_ = 0;
 };
 
 Result runOnce(std::uint64_t Seed, double PerSecond, bool Flood,
@@ -100,6 +102,9 @@
     if (O.Error_.Kind_ == ErrorKind::Overloaded ||
         O.Error_.Kind_ == ErrorKind::OverLimit)
       Refusals.push_back(static_cast<double>(O.EndedAt_ - O.SentAt_));
+    if (O.Error_.Kind_ == ErrorKind::TimeLimit)
+      (O.Request_.Priority_ == Priority::Batch ? R.LateBatch_
+                                               : R.LateInteractive_) += 1;
     R.Broken_ += O.Error_.Kind_ == ErrorKind::TimeLimit ||
                          O.Error_.Kind_ == ErrorKind::UpstreamFailed
                      ? 1
@@ -146,6 +151,8 @@
                  Out.add("retry_after_right", R.RetryAfterRight_);
                  Out.add("batch_share", R.BatchShare_);
                  Out.add("accepted_but_late", R.Broken_);
+                 Out.add("late_batch", R.LateBatch_);
+                 Out.add("late_interactive", R.LateInteractive_);
                  return Out;
                },
                {"goodput", "retry_after_right", "batch_share"});
--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -11,6 +11,8 @@
 constexpr int BatchFloor = 9;             // interactive calls per batch call
 constexpr double RetryShare = 0.1;        // retries per accepted request
 constexpr double MaxRetryBudget = 20;     // retries
+constexpr double MinBatchPerSecond = 0.5; // calls, whatever the capacity
+constexpr double ServiceShare = 0.1;      // of a new answer in the average
 constexpr Millis DrainWindow = 1000;      // ms
 constexpr double MinDrainPerSecond = 1;   // calls
 constexpr Millis MinRetryAfter = 200;     // ms
@@ -38,16 +40,19 @@
   State.FilledAt_ = Now;
 }
 
-int waitingBefore(const State &S, Priority Which) {
-  const int Interactive = S.Admission_.Waiting_[index(Priority::Interactive)];
-  if (Which == Priority::Interactive)
-    return Interactive;
-  return Interactive + S.Admission_.Waiting_[index(Priority::Batch)];
+int waitingInAll(const State &S) {
+  return S.Admission_.Waiting_[0] + S.Admission_.Waiting_[1];
 }
 
-Millis expectedWait(const State &S, Priority Which) {
-  const double Rate = std::max(MinDrainPerSecond, S.Admission_.DrainPerSecond_);
-  return static_cast<Millis>(waitingBefore(S, Which) * 1000 / Rate);
+double drainRate(const State &S, Priority Which) {
+  return std::max(MinDrainPerSecond,
+                  S.Admission_.DrainPerSecond_[index(Which)]);
+}
+
+/// Time until a queue has drained.
+Millis drainTime(const State &S, Priority Which) {
+  return static_cast<Millis>(S.Admission_.Waiting_[index(Which)] * 1000 /
+                             drainRate(S, Which));
 }
 
 bool isWaiting(const AccountState &Account) {
@@ -66,23 +71,23 @@
   return A.Weight_ / Sum;
 }
 
-/// Wait of an account's next call: no longer than the whole queue takes, and
-/// than its own queue takes at its fair share.
-Millis expectedWaitOf(const State &S, const Call &C, const Account &A) {
+/// Time until an account's next call would be answered: no longer than the
+/// whole queue takes, and than its own queue takes at its fair share.
+Millis expectedTime(const State &S, const Call &C, const Account &A) {
+  const Priority Which = C.Request_.Priority_;
   const auto &Queues = S.Admission_.Accounts_.at(A.Name_).Queues_;
-  const bool Batch = C.Request_.Priority_ == Priority::Batch;
-  const double Own =
-      static_cast<double>(Queues[0].size() + (Batch ? Queues[1].size() : 0));
-  const double Rate = std::max(MinDrainPerSecond, S.Admission_.DrainPerSecond_);
+  const double Own = static_cast<double>(Queues[index(Which)].size());
   const auto AtShare =
-      static_cast<Millis>(Own * 1000 / (Rate * fairShare(S, A)));
-  return std::min(expectedWait(S, C.Request_.Priority_), AtShare);
+      static_cast<Millis>(Own * 1000 / (drainRate(S, Which) * fairShare(S, A)));
+  const auto Service =
+      static_cast<Millis>(S.Admission_.ServiceMs_[index(Which)]);
+  return std::min(drainTime(S, Which), AtShare) + Service;
 }
 
 } // namespace
 
-Millis retryAfter(State &S) {
-  const Millis Drain = expectedWait(S, Priority::Batch);
+Millis retryAfter(State &S, Priority Which) {
+  const Millis Drain = drainTime(S, Which);
   const Millis Spread = std::max<Millis>(Drain, MinRetryAfter);
   const Millis Jitter =
       static_cast<Millis>(nextRandom(S) % static_cast<std::uint64_t>(Spread));
@@ -102,18 +107,18 @@
   if (Account.InFlight_ >= A.MaxInFlight_)
     return CallError{ErrorKind::OverLimit, RunState::NotRun,
                      "the account has too many requests in flight",
-                     retryAfter(S)};
-  const int Waiting = waitingBefore(S, Priority::Batch);
+                     retryAfter(S, C.Request_.Priority_)};
+  const int Waiting = waitingInAll(S);
   const double Own = static_cast<double>(Account.Queues_[0].size() +
                                          Account.Queues_[1].size());
   const int Room = S.Settings_.Limits_.QueueLength_;
   if (Waiting >= Room && Own >= Room * fairShare(S, A))
     return CallError{ErrorKind::Overloaded, RunState::NotRun,
-                     "the queue is full", retryAfter(S)};
-  if (S.Now_ + expectedWaitOf(S, C, A) > C.Deadline_)
+                     "the queue is full", retryAfter(S, C.Request_.Priority_)};
+  if (S.Now_ + expectedTime(S, C, A) > C.Deadline_)
     return CallError{ErrorKind::Overloaded, RunState::NotRun,
                      "the queue is longer than the request's time limit",
-                     retryAfter(S)};
+                     retryAfter(S, C.Request_.Priority_)};
   Account.Tokens_ -= 1;
   S.Admission_.RetryBudget_ =
       std::min(MaxRetryBudget, S.Admission_.RetryBudget_ + RetryShare);
@@ -164,7 +169,7 @@
 
 Priority nextPriority(const State &S) {
   const bool BatchWaits = S.Admission_.Waiting_[index(Priority::Batch)] > 0;
-  if (BatchWaits && S.Admission_.SinceBatch_ >= BatchFloor)
+  if (BatchWaits && isBatchDue(S))
     return Priority::Batch;
   return Priority::Interactive;
 }
@@ -175,27 +180,56 @@
                             ? 1
                             : Found->second.Weight_;
   S.Admission_.Accounts_[C.Account_].Served_ += work(C) / Weight;
-  if (C.Request_.Priority_ == Priority::Batch)
-    S.Admission_.SinceBatch_ = 0;
-  else
+  if (C.Request_.Priority_ == Priority::Interactive) {
     ++S.Admission_.SinceBatch_;
+    return;
+  }
+  S.Admission_.SinceBatch_ = 0;
+  S.Admission_.BatchServedAt_ = S.Now_;
+}
+
+bool isBatchDue(const State &S) {
+  // The second rule holds where other processes' interactive requests fill the
+  // upstreams and this one has only batch.
+  return S.Admission_.SinceBatch_ >= BatchFloor ||
+         S.Now_ - S.Admission_.BatchServedAt_ >= S.Admission_.BatchGap_;
 }
 
-void noteFinished(State &S, const Call &C) {
+void tickAdmission(State &S) {
+  double PerSecond = 0;
+  for (const Upstream &U : S.Upstreams_)
+    if (!U.Leaving_ && U.Listed_ && U.Slots_ > 0)
+      PerSecond += U.Slots_ * 1000 / std::max(1.0, U.ServiceMs_);
+  const double Processes =
+      static_cast<double>(S.Membership_.Members_.size() + 1);
+  const double Floor = PerSecond / (BatchFloor + 1) / Processes;
+  S.Admission_.BatchGap_ =
+      static_cast<Millis>(1000 / std::max(MinBatchPerSecond, Floor));
+}
+
+void noteEnded(State &S, const Call &C) {
   AccountState &Account = S.Admission_.Accounts_[C.Account_];
   Account.InFlight_ = std::max(0, Account.InFlight_ - 1);
+}
+
+void noteAnswered(State &S, const Call &C) {
   AdmissionState &A = S.Admission_;
-  ++A.FinishedInWindow_;
+  const std::size_t Which = index(C.Request_.Priority_);
+  const double Took = static_cast<double>(S.Now_ - C.DispatchedAt_);
+  A.ServiceMs_[Which] += ServiceShare * (Took - A.ServiceMs_[Which]);
+  ++A.AnsweredInWindow_[Which];
   const Millis Elapsed = S.Now_ - A.WindowStart_;
   if (Elapsed < DrainWindow)
     return;
-  // With nothing waiting the rate is that of arrivals: it may show that more
-  // is possible, never that less is.
-  const double Rate =
-      A.FinishedInWindow_ * 1000.0 / static_cast<double>(Elapsed);
-  if (waitingBefore(S, Priority::Batch) > 0 || Rate > A.DrainPerSecond_)
-    A.DrainPerSecond_ = (A.DrainPerSecond_ + Rate) / 2;
-  A.FinishedInWindow_ = 0;
+  for (std::size_t I = 0; I < 2; ++I) {
+    // With nothing waiting the rate is that of arrivals: it may show that more
+    // is possible, never that less is.
+    const double Rate =
+        A.AnsweredInWindow_[I] * 1000.0 / static_cast<double>(Elapsed);
+    if (A.Waiting_[I] > 0 || Rate > A.DrainPerSecond_[I])
+      A.DrainPerSecond_[I] = (A.DrainPerSecond_[I] + Rate) / 2;
+    A.AnsweredInWindow_[I] = 0;
+  }
   A.WindowStart_ = S.Now_;
 }
 
--- a/src/admission.h
+++ b/src/admission.h
@@ -35,12 +35,21 @@
 /// Books a call that leaves the queue for an upstream.
 void noteServed(State &S, const Call &C);
 
-/// Books an answered call, for the estimate of the drain rate.
-void noteFinished(State &S, const Call &C);
+/// Books a call that has ended in whatever way.
+void noteEnded(State &S, const Call &C);
+
+/// Books an answered call, for the estimates at the door.
+void noteAnswered(State &S, const Call &C);
+
+/// @return true if batch has waited for its floor's turn
+bool isBatchDue(const State &S);
+
+/// Works out how often batch is due from the upstreams' capacity.
+void tickAdmission(State &S);
 
 /// Time until a refused caller should come back: the queue's expected drain
 /// time with jitter, so that refused callers don't return as one wave.
-Millis retryAfter(State &S);
+Millis retryAfter(State &S, Priority Which);
 
 /// Takes one retry from the budget.
 /// @return false if the budget is spent
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -125,7 +125,10 @@
                   Effects &Out) {
   Upstream &U = S.Upstreams_[Index];
   ++U.InFlight_;
+  const bool Batch = C.Request_.Priority_ == Priority::Batch;
+  U.BatchInFlight_ += Batch ? 1 : 0;
   Attempt New;
+  New.Batch_ = Batch;
   New.Call_ = C.Id_;
   New.Upstream_ = Index;
   New.Version_ = Choice.Version_;
@@ -139,6 +142,8 @@
   ++C.Attempts_;
   ++C.Uncertain_;
   C.Phase_ = CallPhase::Running;
+  if (C.DispatchedAt_ == 0)
+    C.DispatchedAt_ = S.Now_;
   count(S, "attempts");
   rememberPrefix(S, C.Blocks_, Index);
 
@@ -226,6 +231,7 @@
   S.Attempts_.erase(Found);
   Upstream &U = S.Upstreams_[Taken.Attempt_.Upstream_];
   U.InFlight_ = std::max(0, U.InFlight_ - 1);
+  U.BatchInFlight_ -= Taken.Attempt_.Batch_ ? 1 : 0;
   if (Taken.Call_ != nullptr)
     Taken.Call_->Attempt_ = 0;
   return Taken;
@@ -261,6 +267,7 @@
     Out.push_back(ReplyWhole{C.Id_, C.RequestId_, C.Request_.Model_, C.Text_,
                              C.FinishReason_, C.PromptTokens_, C.NextIndex_});
   count(S, "answered");
+  noteAnswered(S, C);
   CallRecord Record = recordOf(C);
   Record.Finished_ = true;
   Record.FinishReason_ = C.FinishReason_;
@@ -289,7 +296,7 @@
   if (C.Attempts_ >= MaxAttempts || (Budgeted && !takeRetry(S))) {
     refuse(
         S, C,
-        {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_, retryAfter(S)},
+        {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_, retryAfter(S, C.Request_.Priority_)},
         Out);
     return;
   }
@@ -321,7 +328,7 @@
   if (C.Attempts_ >= MaxAttempts || (!Untouched && !takeRetry(S))) {
     refuse(
         S, C,
-        {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_, retryAfter(S)},
+        {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_, retryAfter(S, C.Request_.Priority_)},
         Out);
     return;
   }
@@ -561,6 +568,9 @@
   if (!Taken)
     return;
   noteAttemptOk(S, Taken->Attempt_.Upstream_);
+  Upstream &U = S.Upstreams_[Taken->Attempt_.Upstream_];
+  const double Took = static_cast<double>(S.Now_ - Taken->Attempt_.StartedAt_);
+  U.ServiceMs_ += MovingAverageShare * (Took - U.ServiceMs_);
   Call &C = *Taken->Call_;
   noteEvidence(S, Taken->Attempt_, C, false, Out);
   C.FinishReason_ = E.FinishReason_;
@@ -627,6 +637,7 @@
 void answerService(State &S, Call &C, const ClaimDoneRecord &Outcome,
                    bool Replayed, Effects &Out) {
   count(S, "answered");
+  noteAnswered(S, C);
   Out.push_back(ReplyService{C.Id_, C.RequestId_, Outcome.Status_,
                              Outcome.ContentType_, Outcome.Body_, Replayed});
   forgetCall(S, C.Id_);
@@ -661,7 +672,7 @@
     return;
   Call &C = Found->second;
   dequeue(S, C);
-  noteFinished(S, C);
+  noteEnded(S, C);
   S.Claims_.Waiting_.erase(C.ClaimId_);
   const auto ById = S.CallByRequestId_.find(C.RequestId_);
   if (ById != S.CallByRequestId_.end() && ById->second == Id)
@@ -694,7 +705,7 @@
   for (const CallId Id : Late) {
     Call &C = S.Calls_.at(Id);
     const CallError Error{ErrorKind::TimeLimit, runStateOf(S, C),
-                          "the request's time limit has passed", retryAfter(S)};
+                          "the request's time limit has passed", retryAfter(S, C.Request_.Priority_)};
     if (C.Attempt_ != 0 && isUnrepeatableCall(S, C)) {
       // The reply is still wanted for the call's key: only the caller is told
       // that the time is up. The service limit ends the attempt.
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -1,6 +1,7 @@
 // Composes the modules into one reducer.
 #include "core.h"
 
+#include "admission.h"
 #include "calls.h"
 #include "claims.h"
 #include "controllog.h"
@@ -37,6 +38,7 @@
 
 void onTick(State &S, Effects &Out) {
   tickUpstreams(S, Out);
+  tickAdmission(S);
   tickMembership(S, Out);
   tickControl(S, Out);
   tickLease(S, Out);
--- a/src/dump.cpp
+++ b/src/dump.cpp
@@ -131,10 +131,12 @@
                       {"evidence_rows", S.Release_.Evidence_.size()},
                       {"rejected", offsets(S.Release_.RejectedNotes_)}};
   Whole["claims"] = {{"keys", S.Claims_.Keys_.size()}};
-  Whole["admission"] = {{"waiting_interactive", S.Admission_.Waiting_[0]},
-                        {"waiting_batch", S.Admission_.Waiting_[1]},
-                        {"drain_per_second", S.Admission_.DrainPerSecond_},
-                        {"retry_budget", S.Admission_.RetryBudget_}};
+  Whole["admission"] = {
+      {"waiting_interactive", S.Admission_.Waiting_[0]},
+      {"waiting_batch", S.Admission_.Waiting_[1]},
+      {"drain_per_second_interactive", S.Admission_.DrainPerSecond_[0]},
+      {"drain_per_second_batch", S.Admission_.DrainPerSecond_[1]},
+      {"retry_budget", S.Admission_.RetryBudget_}};
   Whole["upstreams"] = upstreams(S);
   Whole["calls"] = calls(S);
   Whole["held_records"] = S.Held_.ById_.size();
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -1,8 +1,11 @@
 // Routing by expected first-token time, prefix affinity and price.
 #include "router.h"
 
+#include "admission.h"
+
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <fmt/format.h>
 #include <xxhash.h>
 
@@ -18,8 +21,9 @@
 constexpr std::size_t AffinityCandidates = 2;
 constexpr std::size_t RandomCandidates = 2;
 constexpr double PrefillMsPerBlock = 8; // cost of an uncached block
-constexpr double DecodePressureMs = 4;  // cost of one more stream
-constexpr double QueueMs = 120;         // cost of one request in a queue
+constexpr double DecodePressureMs = 3;  // cost of one more stream
+constexpr double OwnerCredit = 0.7;     // of a prefix's blocks, see cost()
+constexpr double BatchPart = 0.75;      // of an upstream's slots
 constexpr double PriceMs = 20;          // cost of one price unit an hour
 constexpr double RemoteMs = 15;         // cost of another data centre
 
@@ -63,9 +67,27 @@
   S.PoolsChanged_ = false;
 }
 
+/// Requests at the upstream now: this process's own, which it knows, and those
+/// of others by the upstream's reports, which lag and are smoothed.
+int estimatedLoad(const Upstream &U) {
+  return U.InFlight_ + static_cast<int>(std::lround(U.OthersLoad_));
+}
+
 bool hasRoom(const State &S, const Upstream &U, const Call &C, int Index) {
-  return isUsable(S, U) && U.InFlight_ < static_cast<int>(U.Limit_) &&
-         C.TriedUpstreams_.count(Index) == 0;
+  if (!isUsable(S, U) || U.InFlight_ >= static_cast<int>(U.Limit_) ||
+      C.TriedUpstreams_.count(Index) > 0)
+    return false;
+  if (C.Request_.Priority_ == Priority::Interactive || U.Slots_ == 0 ||
+      isBatchDue(S))
+    return true;
+  // Batch leaves slots free, so that interactive requests need not wait for
+  // one: a running stream is not taken off. Reports lag, so each process keeps
+  // to its own part of what batch may have.
+  const double ForBatch = BatchPart * U.Slots_;
+  const double Processes =
+      static_cast<double>(S.Membership_.Members_.size() + 1);
+  return estimatedLoad(U) < std::max(1.0, ForBatch) &&
+         U.BatchInFlight_ < std::max(1.0, std::floor(ForBatch / Processes));
 }
 
 /// Number of leading blocks that the upstream is thought to hold.
@@ -80,14 +102,21 @@
 }
 
 /// Expected first-token time in ms, plus what the host's price is worth.
-double cost(const State &S, const Call &C, int Index) {
+/// @param Owner the upstream that all processes choose for a new prefix; other
+///        processes may have filled its cache already
+double cost(const State &S, const Call &C, int Index, int Owner) {
   const Upstream &U = S.Upstreams_[Index];
-  const std::size_t Uncached = C.Blocks_.size() - cachedBlocks(S, C, Index);
+  const auto Blocks = static_cast<double>(C.Blocks_.size());
+  double Cached = static_cast<double>(cachedBlocks(S, C, Index));
+  if (Index == Owner)
+    Cached = std::max(Cached, OwnerCredit * Blocks);
   const double Remote =
       U.Row_.DataCentre_ == S.Settings_.DataCentre_ ? 0 : RemoteMs;
-  return U.FirstTokenMs_ + static_cast<double>(Uncached) * PrefillMsPerBlock +
-         U.InFlight_ * DecodePressureMs + U.Waiting_ * QueueMs +
-         U.Row_.Price_ * PriceMs + Remote;
+  const int Load = estimatedLoad(U);
+  const int Slots = U.Slots_ > 0 ? U.Slots_ : static_cast<int>(U.Limit_);
+  const double Queue = std::max(0, Load + 1 - Slots) * U.ServiceMs_ / Slots;
+  return (Blocks - Cached) * PrefillMsPerBlock + Queue +
+         Load * DecodePressureMs + U.Row_.Price_ * PriceMs + Remote;
 }
 
 class Candidates {
@@ -112,14 +141,17 @@
   std::size_t Count_ = 0;
 };
 
-void addHolders(const State &S, const Call &C, const Pool &P, Candidates &Out) {
+/// Adds the upstreams known to hold the longest part of the prompt.
+/// @param Serves whether an upstream serves what the call needs
+template <typename Predicate>
+void addHolders(const State &S, const Call &C, Predicate Serves,
+                Candidates &Out) {
   for (std::size_t I = C.Blocks_.size(); I > 0; --I) {
     const auto Found = S.PrefixHolders_.find(C.Blocks_[I - 1]);
     if (Found == S.PrefixHolders_.end())
       continue;
     for (const int Index : Found->second)
-      if (std::find(P.Members_.begin(), P.Members_.end(), Index) !=
-          P.Members_.end())
+      if (Serves(S.Upstreams_[Index]))
         Out.add(Index);
     return;
   }
@@ -160,21 +192,37 @@
   State &S_;
   const Call &C_;
   const Pool &P_;
+  const Pool &All_; ///< Of all data centres.
+  std::string_view Version_;
 
   int operator()(CostPolicy &) const {
     Candidates Few(S_, C_);
+    int Owner = -1;
     if (!C_.Blocks_.empty()) {
-      addHolders(S_, C_, P_, Few);
-      addByRing(P_, C_.Blocks_.front(), AffinityCandidates, Few);
+      // A prefix has one owner for all data centres: computing it again costs
+      // more than the way there.
+      addByRing(All_, C_.Blocks_.front(), 1, Few);
+      Owner = Few.all().empty() ? -1 : Few.all()[0];
+      addHolders(
+          S_, C_, [&](const Upstream &U) { return serves(U); }, Few);
     }
+    addByRing(P_, C_.Blocks_.empty() ? nextRandom(S_) : C_.Blocks_.front(),
+              AffinityCandidates, Few);
     for (std::size_t I = 0; I < RandomCandidates; ++I)
       Few.add(P_.Members_[nextRandom(S_) % P_.Members_.size()]);
     const int Best = bestOf(Few.all(), [&](int A, int B) {
-      return cost(S_, C_, A) < cost(S_, C_, B);
+      return cost(S_, C_, A, Owner) < cost(S_, C_, B, Owner);
     });
     return Best >= 0 ? Best : anyWithRoom(S_, C_, P_);
   }
 
+  bool serves(const Upstream &U) const {
+    return C_.Request_.Kind_ == CallKind::Service
+               ? U.Row_.Service_ == C_.Request_.Route_
+               : U.Loaded_.count({C_.Request_.Model_, std::string(Version_)}) >
+                     0;
+  }
+
   int operator()(RoundRobinPolicy &Policy) const {
     for (std::size_t I = 0; I < P_.Members_.size(); ++I) {
       const int Index = P_.Members_[Policy.Next_++ % P_.Members_.size()];
@@ -234,16 +282,18 @@
   if (S.PoolsChanged_)
     rebuildPools(S);
   const std::string Key = poolKey(C, Version);
-  const std::string Local = fmt::format("{}@{}", Key, S.Settings_.DataCentre_);
-  for (const std::string &Name : {Local, Key}) {
-    const auto Found = S.Pools_.find(Name);
-    if (Found == S.Pools_.end())
-      continue;
-    const int Index = std::visit(Picker{S, C, Found->second}, S.Policy_);
+  const auto All = S.Pools_.find(Key);
+  if (All == S.Pools_.end())
+    return -1;
+  const auto Local =
+      S.Pools_.find(fmt::format("{}@{}", Key, S.Settings_.DataCentre_));
+  if (Local != S.Pools_.end()) {
+    const int Index = std::visit(
+        Picker{S, C, Local->second, All->second, Version}, S.Policy_);
     if (Index >= 0)
       return Index;
   }
-  return -1;
+  return std::visit(Picker{S, C, All->second, All->second, Version}, S.Policy_);
 }
 
 bool isServed(State &S, const Call &C, std::string_view Version) {
--- a/src/state.h
+++ b/src/state.h
@@ -24,12 +24,17 @@
   bool Leaving_ = false; ///< Never unset: a new life is a new upstream.
   bool Listed_ = true;   ///< Still on the host list.
   std::set<LoadedVersion> Loaded_;
-  int InFlight_ = 0;  ///< Attempts of this process.
-  int Waiting_ = 0;   ///< Queue that the upstream reports.
-  double Limit_ = 16; ///< Adaptive concurrency limit of this process.
+  int InFlight_ = 0;       ///< Attempts of this process.
+  int BatchInFlight_ = 0;  ///< Of these, those of batch requests.
+  double OthersLoad_ = 0;  ///< Moving average of other processes' requests.
+  int Waiting_ = 0;        ///< Requests that the upstream reports as waiting.
+  int Slots_ = 0;          ///< Requests that it runs at once; 0: not told.
+  double ServiceMs_ = 300; ///< Moving average of an attempt's duration.
+  double Limit_ = 16;      ///< Adaptive concurrency limit of this process.
   int FailuresInRow_ = 0;
   Millis AvoidUntil_ = 0;
   Millis ProbedAt_ = 0;
+  int InFlightAtProbe_ = 0;
   bool Probing_ = false;
   Millis OrderedAt_ = 0;     ///< Last order to load a version.
   double FirstTokenMs_ = 50; ///< Moving average, with an empty cache.
@@ -78,6 +83,7 @@
   std::string Account_; ///< Name; empty for none.
   CallPhase Phase_ = CallPhase::Queued;
   Millis ArrivedAt_ = 0;
+  Millis DispatchedAt_ = 0; ///< First attempt; 0: none yet.
   Millis Deadline_ = 0;
   bool CallerPresent_ = true;
   bool StreamStarted_ = false;
@@ -112,6 +118,7 @@
   int Upstream_ = -1;
   std::string Version_;
   bool NewVersion_ = false;
+  bool Batch_ = false;
   LogOffset Note_ = NoOffset;
   Millis StartedAt_ = 0;
   Millis FirstTokenAt_ = 0;
@@ -133,9 +140,12 @@
   std::map<std::string, AccountState> Accounts_;
   int Waiting_[2] = {0, 0}; ///< By priority.
   int SinceBatch_ = 0; ///< Interactive calls served since the last batch call.
-  double DrainPerSecond_ = 20; ///< Moving average of finished calls.
-  int FinishedInWindow_ = 0;
+  Millis BatchServedAt_ = 0;
+  Millis BatchGap_ = 1000; ///< Longest time between two batch calls.
+  double DrainPerSecond_[2] = {20, 20}; ///< Answered calls, by priority.
+  int AnsweredInWindow_[2] = {0, 0};
   Millis WindowStart_ = 0;
+  double ServiceMs_[2] = {300, 300}; ///< From dispatch to answer.
   double RetryBudget_ = 10;
 };
 
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -19,7 +19,8 @@
 constexpr Millis MaxAvoidTime = 8000;   // ms
 constexpr int ProbesPerTick = 8;        // bound on the probing work of a tick
 constexpr double LimitCut = 0.7;        // after a refusal
-constexpr double QueueCut = 0.85;       // after a report of a long queue
+constexpr double MaxQueueCut = 0.6;     // after a report of a long queue
+constexpr double OthersLoadShare = 0.3; // of a new report in the average
 constexpr int QueueTarget = 2;          // requests waiting at an upstream
 constexpr double MaxLimit = 256;        // attempts in flight
 constexpr int ProbeFailuresToAvoid = 2; // in a row
@@ -116,10 +117,16 @@
   U.FailuresInRow_ = 0;
   U.AvoidUntil_ = 0;
   U.Waiting_ = E.Waiting_;
+  U.Slots_ = E.Slots_;
+  const int Others = std::max(0, E.Running_ + E.Waiting_ - U.InFlightAtProbe_);
+  U.OthersLoad_ += OthersLoadShare * (Others - U.OthersLoad_);
   // Requests wait here rather than at the upstream: here their turn is fair
   // and they can still go elsewhere.
-  if (E.Waiting_ > QueueTarget)
-    U.Limit_ = std::max(1.0, U.Limit_ * QueueCut);
+  if (E.Waiting_ > QueueTarget) {
+    const double Fit =
+        static_cast<double>(E.Slots_) / (E.Running_ + E.Waiting_);
+    U.Limit_ = std::max(1.0, U.Limit_ * std::max(MaxQueueCut, Fit));
+  }
   const std::set<LoadedVersion> Loaded(E.Loaded_.begin(), E.Loaded_.end());
   if (Loaded != U.Loaded_) {
     U.Loaded_ = Loaded;
@@ -174,6 +181,7 @@
       continue;
     U.Probing_ = true;
     U.ProbedAt_ = S.Now_;
+    U.InFlightAtProbe_ = U.InFlight_;
     ++Probes;
     Out.push_back(ProbeUpstream{U.Row_.Host_, U.Row_.Address_});
   }
