--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -38,9 +38,9 @@
 constexpr double MemoryBudget = 32; // MB
 constexpr double NetworkBudget = 4; // KB/s
 // Periods of the code.
-constexpr double DigestSeconds = 0.5;
+constexpr double DigestSeconds = 1;    // in a large group
 constexpr double DigestsPerPeriod = 2; // in the data centre
-constexpr double RemoteRows = 5;
+
 constexpr double TicksPerSecond = 20;
 constexpr double ProbesPerSecond = 160; // bound of a process
 constexpr double HostListSeconds = 0.5;
@@ -88,15 +88,19 @@
   return S;
 }
 
-DigestMessage digestOf(int Rows, std::uint64_t Heartbeat) {
+/// A digest with three rows and a number of beats.
+DigestMessage digestOf(int Beats, std::uint64_t Heartbeat) {
   DigestMessage D;
-  for (int I = 1; I <= Rows; ++I)
+  for (int I = 1; I <= 3; ++I)
     D.Members_.push_back({{fmt::format("entry-{}", I), 1800000000000},
                           "dc0",
                           "dc0-a",
                           Heartbeat,
                           123456,
                           false});
+  for (int I = 0; I < Beats; ++I)
+    D.Beats_.push_back(
+        {0x80000000U + static_cast<std::uint32_t>(I), Heartbeat});
   D.ControlVersion_ = NoOffset;
   return D;
 }
@@ -297,11 +301,11 @@
 
 Slopes measureSlopes() {
   Slopes All;
-  All["digest_bytes_per_row"] = slopeOf({4, 20, 57, 114}, [](int Rows) {
+  All["digest_bytes_per_beat"] = slopeOf({4, 20, 57, 114}, [](int Rows) {
     return static_cast<double>(
         encodeMessage({{"entry-0", 1}, digestOf(Rows, 100000)}).size());
   });
-  All["digest_us_per_row"] = slopeOf({4, 20, 57, 114}, [](int Rows) {
+  All["digest_us_per_beat"] = slopeOf({4, 20, 57, 114}, [](int Rows) {
     State S = makeState(someSettings(Rows), 1);
     std::uint64_t Heartbeat = 100000;
     return bestMicros([&] {
@@ -394,18 +398,18 @@
                 TokensHere * From.at("token_us").Slope_) /
                    1e4,
                false, "calls, router, admission");
-  const double Digest = at(From, "digest_bytes_per_row", NodesPerCentre);
-  const double Remote = at(From, "digest_bytes_per_row", RemoteRows);
+  const double Digest = at(From, "digest_bytes_per_beat", NodesPerCentre);
+  const double Remote = at(From, "digest_bytes_per_beat", 0);
   const double DigestRate = 1 / DigestSeconds;
   Table += row(
       "membership and facts",
-      fmt::format("{:.0f} + {:.0f} members", NodesPerCentre, RemoteRows), 0,
+      fmt::format("{:.0f} near members", NodesPerCentre), 0,
       2 * DigestRate * (DigestsPerPeriod * Digest + Remote),
       DigestRate *
-          (DigestsPerPeriod * at(From, "digest_us_per_row", NodesPerCentre) +
-           at(From, "digest_us_per_row", RemoteRows)) /
+          (DigestsPerPeriod * at(From, "digest_us_per_beat", NodesPerCentre) +
+           at(From, "digest_us_per_beat", 0)) /
           1e4,
-      true, "digests to 2 near and 1 far peer each 0.5 s; rumours");
+      true, "digests to 2 near and 1 far peer each second; rumours");
   Table +=
       row("upstream table", fmt::format("{:.0f} upstreams", Upstreams),
           at(From, "memory_per_upstream", Upstreams), 0,
--- a/bench/membership.cpp
+++ b/bench/membership.cpp
@@ -48,8 +48,10 @@
   W.publishConfig(exampleConfig({"m"}));
   W.run(WarmUp);
   std::int64_t BytesBefore = 0;
-  for (int I = 0; I < Entries; ++I)
+  for (int I = 0; I < Entries; ++I) {
     BytesBefore += W.entry(I).BytesSent_ + W.entry(I).BytesReceived_;
+    W.entry(I).BytesByType_.clear();
+  }
   const double CpuBefore = cpuSeconds();
   W.run(QuietTime);
   const double Cpu = cpuSeconds() - CpuBefore;
@@ -67,6 +69,13 @@
   Out.add("bytes_per_second",
           static_cast<double>(Bytes - BytesBefore) / Entries / Seconds);
   Out.add("cpu_percent", Cpu / Entries / Seconds * 100);
+  std::map<std::string, std::int64_t> ByType;
+  for (int I = 0; I < Entries; ++I)
+    for (const auto &[Type, Count] : W.entry(I).BytesByType_)
+      ByType[Type] += Count;
+  for (const auto &[Type, Count] : ByType)
+    Out.add("sent_per_second_" + Type,
+            static_cast<double>(Count) / Entries / Seconds);
   Out.add("false_silent", FalseSilent);
   // Only one data centre gets the notice from the platform.
   for (int I = 1; I < Options.DataCentres_; ++I)
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -294,10 +294,10 @@
                          E.Failure_ == AttemptFailure::Garbage) &&
                         !A.NewVersion_;
   if (C.Attempts_ >= MaxAttempts || (Budgeted && !takeRetry(S))) {
-    refuse(
-        S, C,
-        {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_, retryAfter(S, C.Request_.Priority_)},
-        Out);
+    refuse(S, C,
+           {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_,
+            retryAfter(S, C.Request_.Priority_)},
+           Out);
     return;
   }
   count(S, "retries");
@@ -326,10 +326,10 @@
   C.TriedUpstreams_.insert(A.Upstream_);
   C.FreshConnection_ = !Untouched;
   if (C.Attempts_ >= MaxAttempts || (!Untouched && !takeRetry(S))) {
-    refuse(
-        S, C,
-        {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_, retryAfter(S, C.Request_.Priority_)},
-        Out);
+    refuse(S, C,
+           {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_,
+            retryAfter(S, C.Request_.Priority_)},
+           Out);
     return;
   }
   count(S, "retries");
@@ -705,7 +705,8 @@
   for (const CallId Id : Late) {
     Call &C = S.Calls_.at(Id);
     const CallError Error{ErrorKind::TimeLimit, runStateOf(S, C),
-                          "the request's time limit has passed", retryAfter(S, C.Request_.Priority_)};
+                          "the request's time limit has passed",
+                          retryAfter(S, C.Request_.Priority_)};
     if (C.Attempt_ != 0 && isUnrepeatableCall(S, C)) {
       // The reply is still wanted for the call's key: only the caller is told
       // that the time is up. The service limit ends the attempt.
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -56,6 +56,10 @@
   F("config_version", R.ConfigVersion_);
   F("draining", R.Draining_);
 }
+template <Is<Beat> T, typename V> void fields(T &R, V &&F) {
+  F("life", R.LifeHash_);
+  F("heartbeat", R.Heartbeat_);
+}
 template <Is<MoveRow> T, typename V> void fields(T &R, V &&F) {
   F("note", R.Note_);
   F("note_id", R.NoteId_);
@@ -76,6 +80,7 @@
 }
 template <Is<DigestMessage> T, typename V> void fields(T &R, V &&F) {
   F("members", R.Members_);
+  F("beats", R.Beats_);
   F("control_version", R.ControlVersion_);
   F("facts_hash", R.FactsHash_);
   F("sequence", R.Sequence_);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -16,14 +16,19 @@
 
 namespace {
 
-constexpr Millis DigestPeriod = 500;           // ms between digests
-constexpr Millis SilenceLimit = 3000;          // ms without a heartbeat
+// A small group tells everybody everything; a large one takes its time.
+constexpr Millis SmallGroupPeriod = 500;       // ms between digests
+constexpr Millis LargeGroupPeriod = 1000;      // ms
+constexpr Millis SmallGroupSilence = 3000;     // ms without a heartbeat
+constexpr Millis LargeGroupSilence = 12000;    // ms
 constexpr std::uint64_t MaxUnacknowledged = 4; // digests to one peer
 constexpr std::size_t SmallGroup = 6;          // peers who all get everything
 constexpr std::size_t DigestTargets = 2;       // in our data centre, else
 constexpr std::size_t RumourTargets = 5;       // peers told of a new fact
-constexpr std::size_t Judges = 3;     // processes that collect evidence
-constexpr std::size_t RemoteRows = 4; // members told across data centres
+constexpr std::size_t Judges = 3;    // processes that collect evidence
+constexpr Millis NewsTime = 15000;   // ms for which a life is new
+constexpr std::size_t NewRows = 12;  // new lives' rows in a digest
+constexpr std::size_t ExtraRows = 2; // other members' rows in a digest
 
 std::vector<std::string> peerNames(const State &S, bool OnlyAlive) {
   std::vector<std::string> Names;
@@ -58,6 +63,14 @@
   return Sum;
 }
 
+std::uint32_t lifeHash(const Life &L) {
+  return static_cast<std::uint32_t>(hashText(L.Name_, L.Incarnation_));
+}
+
+bool isSmallGroup(const State &S) {
+  return S.Membership_.Members_.size() <= SmallGroup;
+}
+
 MemberRow ownRow(const State &S) {
   MemberRow Row;
   Row.Life_ = S.Self_;
@@ -69,17 +82,34 @@
   return Row;
 }
 
+void addRandomRows(State &S, std::vector<const MemberRow *> &From,
+                   std::size_t Wanted, DigestMessage &Digest) {
+  for (std::size_t I = 0; I < std::min(Wanted, From.size()); ++I) {
+    std::swap(From[I], From[I + nextRandom(S) % (From.size() - I)]);
+    Digest.Members_.push_back(*From[I]);
+  }
+}
+
 DigestMessage makeDigest(State &S, Member &To) {
   DigestMessage Digest;
   Digest.Members_.push_back(ownRow(S));
-  const bool Local = To.Row_.DataCentre_ == S.Settings_.DataCentre_;
+  const bool Near = To.Row_.DataCentre_ == S.Settings_.DataCentre_;
+  std::vector<const MemberRow *> Known;
+  std::vector<const MemberRow *> New;
   for (const auto &[Name, M] : S.Membership_.Members_) {
     if (!M.Alive_ || Name == To.Row_.Life_.Name_)
       continue;
-    if (!Local && Digest.Members_.size() > RemoteRows)
-      break;
-    Digest.Members_.push_back(M.Row_);
+    Known.push_back(&M.Row_);
+    if (!Near || M.Row_.DataCentre_ != S.Settings_.DataCentre_)
+      continue;
+    Digest.Beats_.push_back({lifeHash(M.Row_.Life_), M.Row_.Heartbeat_});
+    if (S.Now_ - M.KnownSince_ < NewsTime)
+      New.push_back(&M.Row_);
   }
+  // Rows are needed once in a life: those of new lives go first, a few others
+  // at random.
+  addRandomRows(S, New, NewRows, Digest);
+  addRandomRows(S, Known, ExtraRows, Digest);
   Digest.ControlVersion_ = S.Control_.Version_;
   Digest.FactsHash_ = factsHash(S);
   Digest.Sequence_ = ++To.SequenceSent_;
@@ -117,6 +147,22 @@
     return;
   M.Row_ = Row;
   M.AdvancedAt_ = S.Now_;
+  if (NewLife)
+    M.KnownSince_ = S.Now_;
+  S.Membership_.NameByLife_[lifeHash(Row.Life_)] = Row.Life_.Name_;
+  setAlive(M, true, Out);
+}
+
+void mergeBeat(State &S, const Beat &B, Effects &Out) {
+  const auto Found = S.Membership_.NameByLife_.find(B.LifeHash_);
+  if (Found == S.Membership_.NameByLife_.end())
+    return; // its row will come
+  Member &M = S.Membership_.Members_.at(Found->second);
+  if (lifeHash(M.Row_.Life_) != B.LifeHash_ ||
+      B.Heartbeat_ <= M.Row_.Heartbeat_)
+    return;
+  M.Row_.Heartbeat_ = B.Heartbeat_;
+  M.AdvancedAt_ = S.Now_;
   setAlive(M, true, Out);
 }
 
@@ -139,6 +185,8 @@
   void operator()(const DigestMessage &D) const {
     for (const MemberRow &Row : D.Members_)
       mergeRow(S_, Row, Out_);
+    for (const Beat &B : D.Beats_)
+      mergeBeat(S_, B, Out_);
     const auto Found = S_.Membership_.Members_.find(From_);
     if (Found == S_.Membership_.Members_.end())
       return;
@@ -188,10 +236,13 @@
 }
 
 void tickMembership(State &S, Effects &Out) {
+  const bool Small = isSmallGroup(S);
+  const Millis Silence = Small ? SmallGroupSilence : LargeGroupSilence;
   for (auto &[Name, M] : S.Membership_.Members_)
-    if (M.Alive_ && S.Now_ - M.AdvancedAt_ > SilenceLimit)
+    if (M.Alive_ && S.Now_ - M.AdvancedAt_ > Silence)
       setAlive(M, false, Out);
-  if (S.Now_ - S.Membership_.DigestAt_ < DigestPeriod)
+  const Millis Period = Small ? SmallGroupPeriod : LargeGroupPeriod;
+  if (S.Now_ - S.Membership_.DigestAt_ < Period)
     return;
   S.Membership_.DigestAt_ = S.Now_;
   ++S.Membership_.Heartbeat_;
--- a/src/messages.h
+++ b/src/messages.h
@@ -96,9 +96,16 @@
   std::vector<MoveRow> Moves_;
 };
 
+/// Heartbeat of a life that the receiver knows by its row already.
+struct Beat {
+  std::uint32_t LifeHash_ = 0;
+  std::uint64_t Heartbeat_ = 0;
+};
+
 /// Periodic heartbeat and summary of what the sender knows.
 struct DigestMessage {
-  std::vector<MemberRow> Members_;
+  std::vector<MemberRow> Members_; ///< The sender's own row and a few others.
+  std::vector<Beat> Beats_;        ///< All living members near the sender.
   LogOffset ControlVersion_ = NoOffset;
   std::uint64_t FactsHash_ = 0;
   std::uint64_t Sequence_ = 0;
--- a/src/state.h
+++ b/src/state.h
@@ -259,6 +259,7 @@
 struct Member {
   MemberRow Row_;
   Millis AdvancedAt_ = 0; ///< When the heartbeat last grew.
+  Millis KnownSince_ = 0; ///< When this life was first heard of.
   std::uint64_t SequenceSent_ = 0;
   std::uint64_t SequenceSeen_ = 0;
   std::uint64_t Acknowledged_ = 0;
@@ -267,7 +268,8 @@
 };
 
 struct MembershipState {
-  std::map<std::string, Member> Members_; ///< By name.
+  std::map<std::string, Member> Members_;                     ///< By name.
+  std::unordered_map<std::uint32_t, std::string> NameByLife_; ///< By hash.
   std::uint64_t Heartbeat_ = 0;
   Millis DigestAt_ = 0;
 };
