Door: what is served before an account's call, with a margin

Cause: under a lasting overload the queue settles exactly at the time limit, and an account with a long queue waits longer than the whole queue's drain time, because others' queues fill up again. Ruled out: calls lost in the queue (a trace shows them waiting). Change: the door counts what other accounts will be served meanwhile (their weight's part, or twice what waits), and keeps a margin of 1.3.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -12,6 +12,7 @@
 constexpr double RetryShare = 0.1;        // retries per accepted request
 constexpr double MaxRetryBudget = 20;     // retries
 constexpr double MinBatchPerSecond = 0.5; // calls, whatever the capacity
+constexpr double DoorMargin = 1.3;        // for waits that vary
 constexpr double ServiceShare = 0.1;      // of a new answer in the average
 constexpr Millis DrainWindow = 1000;      // ms
 constexpr double MinDrainPerSecond = 1;   // calls
@@ -71,17 +72,31 @@
   return A.Weight_ / Sum;
 }
 
-/// Time until an account's next call would be answered: no longer than the
-/// whole queue takes, and than its own queue takes at its fair share.
+/// Calls that are served before an account's next one: its own, and of every
+/// other account what its weight gives it meanwhile, or twice what waits now,
+/// since more may come.
+double servedBefore(const State &S, const Account &A, Priority Which) {
+  const auto Queue = [&](const std::string &Name) {
+    const auto Found = S.Admission_.Accounts_.find(Name);
+    return Found == S.Admission_.Accounts_.end()
+               ? 0.0
+               : static_cast<double>(
+                     Found->second.Queues_[index(Which)].size());
+  };
+  const double Own = Queue(A.Name_);
+  double Sum = Own;
+  for (const auto &[Key, Other] : S.Config_.Value_.AccountsByKey_)
+    if (Other.Name_ != A.Name_)
+      Sum += std::min(2 * Queue(Other.Name_), Own * Other.Weight_ / A.Weight_);
+  return Sum;
+}
+
+/// Time until an account's next call would be answered, with a margin.
 Millis expectedTime(const State &S, const Call &C, const Account &A) {
   const Priority Which = C.Request_.Priority_;
-  const auto &Queues = S.Admission_.Accounts_.at(A.Name_).Queues_;
-  const double Own = static_cast<double>(Queues[index(Which)].size());
-  const auto AtShare =
-      static_cast<Millis>(Own * 1000 / (drainRate(S, Which) * fairShare(S, A)));
-  const auto Service =
-      static_cast<Millis>(S.Admission_.ServiceMs_[index(Which)]);
-  return std::min(drainTime(S, Which), AtShare) + Service;
+  const double Wait = servedBefore(S, A, Which) * 1000 / drainRate(S, Which);
+  const double Service = S.Admission_.ServiceMs_[index(Which)];
+  return static_cast<Millis>((Wait + Service) * DoorMargin);
 }
 
 } // namespace
--- a/src/state.h
+++ b/src/state.h
@@ -142,7 +142,7 @@
   int SinceBatch_ = 0; ///< Interactive calls served since the last batch call.
   Millis BatchServedAt_ = 0;
   Millis BatchGap_ = 1000; ///< Longest time between two batch calls.
-  double DrainPerSecond_[2] = {20, 20}; ///< Answered calls, by priority.
+  double DrainPerSecond_[2] = {20, 5}; ///< Answered calls, by priority.
   int AnsweredInWindow_[2] = {0, 0};
   Millis WindowStart_ = 0;
   double ServiceMs_[2] = {300, 300}; ///< From dispatch to answer.
