A configuration that drops a model refuses its waiting calls

Fault found while reading: a call that waits for an upstream looked its model up in the configuration in force and ended the process if a new one had dropped it. Red: config_dropsModelOfWaitingCalls_refusesThem (failed before the change). Change: no version without a model, and a new configuration is checked against all waiting calls.

--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -5,6 +5,7 @@
 #include "calls.h"
 #include "controllog.h"
 #include "core.h"
+#include "dispatch.h"
 
 #include <fmt/format.h>
 
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -5,10 +5,13 @@
 #include "calls.h"
 #include "claims.h"
 #include "controllog.h"
+#include "dispatch.h"
 #include "handover.h"
 #include "lease.h"
 #include "membership.h"
+#include "outcomes.h"
 #include "release.h"
+#include "resume.h"
 #include "upstreams.h"
 
 #include <algorithm>
--- /dev/null
+++ b/src/dispatch.cpp
@@ -0,0 +1,178 @@
+// Gives waiting calls to upstreams and keeps the books of attempts.
+#include "dispatch.h"
+
+#include "admission.h"
+#include "calls.h"
+#include "release.h"
+#include "router.h"
+#include <algorithm>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr int MaxQueueScan = 4;         // calls looked at per account
+constexpr int MaxDispatchPerEvent = 64; // calls
+
+/// Version for the next attempt: the old one, or the new one when it is due.
+struct VersionChoice {
+  std::string Version_;
+  bool New_ = false;
+  LogOffset Note_ = NoOffset;
+};
+
+VersionChoice chooseVersion(State &S, const Call &C) {
+  if (C.Request_.Kind_ == CallKind::Service)
+    return {};
+  const std::string &Model = C.Request_.Model_;
+  const auto Found = S.Release_.Moves_.find(Model);
+  if (Found == S.Release_.Moves_.end()) {
+    // The configuration may have dropped the model since: no version, then.
+    const auto Configured = S.Config_.Value_.Models_.find(Model);
+    if (Configured == S.Config_.Value_.Models_.end())
+      return {};
+    return {Configured->second.Version_, false, NoOffset};
+  }
+  const Move &M = Found->second;
+  if (!C.AvoidNewVersion_ && isNewVersionDue(S, M))
+    return {M.Row_.To_, true, M.Row_.Note_};
+  return {M.Row_.From_, false, M.Row_.Note_};
+}
+
+void startAttempt(State &S, Call &C, int Index, const VersionChoice &Choice,
+                  Effects &Out) {
+  Upstream &U = S.Upstreams_[Index];
+  ++U.InFlight_;
+  const bool Batch = C.Request_.Priority_ == Priority::Batch;
+  U.BatchInFlight_ += Batch ? 1 : 0;
+  Attempt New;
+  New.Batch_ = Batch;
+  New.Call_ = C.Id_;
+  New.Upstream_ = Index;
+  New.Version_ = Choice.Version_;
+  New.NewVersion_ = Choice.New_;
+  New.Note_ = Choice.Note_;
+  New.StartedAt_ = S.Now_;
+  New.LastProgressAt_ = S.Now_;
+  const AttemptId Id = S.NextAttempt_++;
+  S.Attempts_[Id] = New;
+  C.Attempt_ = Id;
+  ++C.Attempts_;
+  ++C.Uncertain_;
+  C.Phase_ = CallPhase::Running;
+  if (C.DispatchedAt_ == 0)
+    C.DispatchedAt_ = S.Now_;
+  count(S, "attempts");
+  rememberPrefix(S, C.Blocks_, Index);
+
+  const bool Service = C.Request_.Kind_ == CallKind::Service;
+  const LimitSettings &Limits = S.Settings_.Limits_;
+  StartAttempt Start;
+  Start.Attempt_ = Id;
+  Start.Kind_ = C.Request_.Kind_;
+  Start.Address_ = U.Row_.Address_;
+  Start.RequestId_ = C.RequestId_;
+  Start.Model_ = C.Request_.Model_;
+  Start.Version_ = Choice.Version_;
+  Start.Route_ = C.Request_.Route_;
+  Start.Body_ = C.Request_.Body_;
+  Start.Delivered_ = C.Text_;
+  Start.NextIndex_ = C.NextIndex_;
+  Start.Priority_ = C.Request_.Priority_;
+  Start.Method_ = C.Request_.Method_;
+  Start.Path_ = C.Request_.Path_;
+  Start.ContentType_ = C.Request_.ContentType_;
+  Start.IdempotencyKey_ = C.Request_.IdempotencyKey_;
+  Start.FirstByteLimit_ =
+      Service ? Limits.ServiceLimit_ : Limits.FirstTokenLimit_;
+  Start.ProgressLimit_ = Limits.ProgressLimit_;
+  // A reused connection may turn out to be dead only after the request was
+  // written; a call that may not be repeated never risks that.
+  Start.FreshConnection_ = C.FreshConnection_ || isUnrepeatableCall(S, C);
+  C.FreshConnection_ = false;
+  Out.push_back(std::move(Start));
+}
+
+/// Places one waiting call, if an upstream has room.
+bool tryPlace(State &S, Call &C, Effects &Out) {
+  VersionChoice Choice = chooseVersion(S, C);
+  int Index = pickUpstream(S, C, Choice.Version_);
+  if (Index < 0 && Choice.New_) {
+    Choice = {S.Release_.Moves_.at(C.Request_.Model_).Row_.From_, false,
+              Choice.Note_};
+    Index = pickUpstream(S, C, Choice.Version_);
+  }
+  if (Index < 0 && !C.TriedUpstreams_.empty()) {
+    // Everything was tried once: a second round is better than none.
+    C.TriedUpstreams_.clear();
+    Index = pickUpstream(S, C, Choice.Version_);
+  }
+  if (Index < 0)
+    return false;
+  if (C.Request_.Kind_ == CallKind::Completion)
+    noteVersionChosen(S, C.Request_.Model_, Choice.New_);
+  dequeue(S, C);
+  noteServed(S, C);
+  startAttempt(S, C, Index, Choice, Out);
+  return true;
+}
+
+bool placeOneOf(State &S, Priority Which, Effects &Out) {
+  const std::size_t Queue = static_cast<std::size_t>(Which);
+  for (const std::string &Name : accountsByTurn(S, Which)) {
+    const auto &Waiting = S.Admission_.Accounts_[Name].Queues_[Queue];
+    const std::size_t Scan =
+        std::min<std::size_t>(Waiting.size(), MaxQueueScan);
+    const std::vector<CallId> Heads(
+        Waiting.begin(), Waiting.begin() + static_cast<std::ptrdiff_t>(Scan));
+    for (const CallId Id : Heads)
+      if (tryPlace(S, S.Calls_.at(Id), Out))
+        return true;
+  }
+  return false;
+}
+
+} // namespace
+
+/// Ends an attempt's bookkeeping. A late answer of an attempt that was given
+/// up finds nothing and is dropped.
+std::optional<TakenAttempt> takeAttempt(State &S, AttemptId Id) {
+  const auto Found = S.Attempts_.find(Id);
+  if (Found == S.Attempts_.end()) {
+    count(S, "stale_answers");
+    return std::nullopt;
+  }
+  TakenAttempt Taken{Found->second, findCall(S, Found->second.Call_)};
+  S.Attempts_.erase(Found);
+  Upstream &U = S.Upstreams_[Taken.Attempt_.Upstream_];
+  U.InFlight_ = std::max(0, U.InFlight_ - 1);
+  U.BatchInFlight_ -= Taken.Attempt_.Batch_ ? 1 : 0;
+  if (Taken.Call_ != nullptr)
+    Taken.Call_->Attempt_ = 0;
+  return Taken;
+}
+
+void cancelAttempt(State &S, Call &C, Effects &Out) {
+  if (C.Attempt_ == 0)
+    return;
+  Out.push_back(CancelAttempt{C.Attempt_});
+  takeAttempt(S, C.Attempt_);
+}
+
+void dispatchWaiting(State &S, Effects &Out) {
+  for (int I = 0; I < MaxDispatchPerEvent; ++I) {
+    const Priority First = nextPriority(S);
+    const Priority Second =
+        First == Priority::Batch ? Priority::Interactive : Priority::Batch;
+    if (!placeOneOf(S, First, Out) && !placeOneOf(S, Second, Out))
+      return;
+  }
+}
+
+void releaseToQueue(State &S, Call &C, Effects &Out) {
+  C.Phase_ = CallPhase::Queued;
+  enqueue(S, C, false);
+  dispatchWaiting(S, Out);
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/dispatch.h
@@ -0,0 +1,29 @@
+// Gives waiting calls to upstreams and keeps the books of attempts.
+#pragma once
+
+#include "state.h"
+
+#include <optional>
+
+namespace endivewharf {
+
+/// Gives waiting calls to upstreams that have room.
+void dispatchWaiting(State &S, Effects &Out);
+
+/// Puts a claimed call into the queue for an upstream.
+void releaseToQueue(State &S, Call &C, Effects &Out);
+
+/// Stops a call's attempt, if it has one.
+void cancelAttempt(State &S, Call &C, Effects &Out);
+
+/// An attempt that has ended, with its call.
+struct TakenAttempt {
+  Attempt Attempt_;
+  Call *Call_ = nullptr;
+};
+
+/// Ends an attempt's bookkeeping. A late answer of an attempt that was given
+/// up finds nothing and is dropped.
+std::optional<TakenAttempt> takeAttempt(State &S, AttemptId Id);
+
+} // namespace endivewharf
--- a/src/handover.cpp
+++ b/src/handover.cpp
@@ -4,8 +4,10 @@
 
 #include "calls.h"
 #include "core.h"
+#include "dispatch.h"
 #include "lease.h"
 #include "membership.h"
+#include "resume.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -35,6 +35,7 @@
 constexpr double SlowRatio = 1.4;           // what "bad" does to latency
 constexpr double MinLatencyVariance = 0.02; // of ln(latency)
 constexpr std::int64_t MinTimed = 8;        // samples for a latency test
+constexpr Millis TypicalLoadTime = 1000;    // ms of two loads at once
 constexpr Millis OrderPeriod = 10000;       // ms until an order is repeated
 constexpr int MaxLoads = 2;                 // at once, for the weight store
 constexpr double MaxCredit = 2; // requests that a share may be behind
@@ -262,6 +263,29 @@
   sendToJudges(S, Message, Out);
 }
 
+/// Least time that a move takes: its loads one after the other, its steps.
+Millis leastTime(const State &S, const Move &M) {
+  const LoadCount Loads = countLoads(S, M);
+  const int Rounds = (Loads.Serving_ - Loads.Loaded_ + MaxLoads - 1) / MaxLoads;
+  return Rounds * TypicalLoadTime + stepsLeft(M.Row_.Share_) * MinStepTime;
+}
+
+/// Says when the note comes what can't be done in its time.
+void reportInfeasible(State &S, const Move &M, Effects &Out) {
+  const Millis Left = M.Row_.DeadlineUnixMs_ - S.UnixMs_;
+  const Millis Needed = leastTime(S, M);
+  if (Left >= Needed)
+    return;
+  remember(
+      S, M.Row_.Model_,
+      fmt::format("infeasible: {} ms left, at least {} needed", Left, Needed));
+  logWarning(Out, "move_infeasible",
+             {{"note", M.Row_.NoteId_},
+              {"model", M.Row_.Model_},
+              {"left_ms", std::to_string(Left)},
+              {"needed_ms", std::to_string(Needed)}});
+}
+
 Move makeMove(const State &S, MoveRow Row) {
   Move M;
   M.Row_ = std::move(Row);
@@ -309,6 +333,7 @@
                 false,
                 ""};
     S.Release_.Moves_[Change.Model_] = makeMove(S, std::move(Row));
+    reportInfeasible(S, S.Release_.Moves_[Change.Model_], Out);
     remember(S, Change.Model_,
              fmt::format("move to {} started by note {}", Change.To_, R.Id_));
     logEvent(Out, "move_started",
--- a/src/state.h
+++ b/src/state.h
@@ -147,6 +147,7 @@
   Millis WindowStart_ = 0;
   double ServiceMs_[2] = {300, 300}; ///< From dispatch to answer.
   double RetryBudget_ = 10;
+  LogOffset CheckedConfig_ = NoOffset; ///< Waiting calls were checked against.
 };
 
 // --- Control plane ---
--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -44,6 +44,18 @@
     EXPECT_EQ(W.state(I).Config_.Rejected_.count(Second), 1U);
 }
 
+TEST_F(ControlTest, config_dropsModelOfWaitingCalls_refusesThem) {
+  World &W = start();
+  for (FakeEngine &E : W.Engines_)
+    E.Dead_ = true;
+  W.run(3000);
+  const auto Which = W.send(0, prompt("x"));
+  W.publish(ConfigRecord{0, exampleConfig({"n"})});
+  W.run(1000);
+  EXPECT_TRUE(W.outcome(Which).Ended_);
+  EXPECT_EQ(W.outcome(Which).Error_.Kind_, ErrorKind::UnknownModel);
+}
+
 TEST_F(ControlTest, config_notReadable_isRejectedAndOldStays) {
   World &W = start();
   const LogOffset Offset = W.publish(ConfigRecord{0, "[acount x]\nkey = y\n"});
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -167,6 +167,16 @@
   Done.get_future().wait();
 }
 
+void Relay::block() {
+  silence();
+  std::promise<void> Done;
+  asio::post(Io_, [this, &Done] {
+    Acceptor_.close();
+    Done.set_value();
+  });
+  Done.get_future().wait();
+}
+
 // --- Requests ---
 
 HttpAnswer http(const std::string &Method, const std::string &Url,
@@ -234,7 +244,7 @@
   startStandin("hosts", {"--kind=hosts", fmt::format("--port={}", HostsPort_),
                          "--lag_ms=0"});
   startStandin("cloud", {"--kind=cloud", fmt::format("--port={}", CloudPort_)});
-  if (Options.RelayLog_)
+  if (Options.RelayLog_ || Options.RelayLogOnly_ >= 0)
     LogRelay_ = std::make_unique<Relay>(LogPort_);
   for (int I = 0; I < Options.Engines_; ++I) {
     EnginePorts_.push_back(freePort());
@@ -281,7 +291,10 @@
         "[platform]\nlog = http://{}\nhosts = http://{}\ncloud = http://{}\n"
         "[limits]\n{}\n",
         I, centres()[I % 3], I, local(EntryPorts_[I]), local(OperatorPorts_[I]),
-        local(PeerPorts_[I]), local(LogRelay_ ? LogRelay_->port() : LogPort_),
+        local(PeerPorts_[I]),
+        local(Options.RelayLog_ || Options.RelayLogOnly_ == I
+                  ? LogRelay_->port()
+                  : LogPort_),
         local(HostsPort_), local(CloudPort_), Options.Limits_);
     for (int J = 0; J < 4; ++J)
       if (J != I)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -49,6 +49,8 @@
   int port() const { return Port_; }
   /// Stops forwarding on all connections that are open now.
   void silence();
+  /// Does so for good, and takes no new ones either.
+  void block();
 
 private:
   struct Pipe;
@@ -88,6 +90,7 @@
     bool RelayEngines_ = false;
     bool RelayPeers_ = false;
     bool RelayLog_ = false;
+    int RelayLogOnly_ = -1; ///< Only this process reads the log by the relay.
   };
 
   void start() { start({}); }
--- a/tests/processes_test.cpp
+++ b/tests/processes_test.cpp
@@ -327,6 +327,19 @@
   expectWhole(ask(2, completion("x", 5)), "x", 5);
 }
 
+TEST_F(ConfigProcessTest, config_oneCentreCutFromLog_learnsFromPeers) {
+  ClusterOptions Options;
+  Options.RelayLogOnly_ = 1;
+  start(Options);
+  LogRelay_->block();
+  ASSERT_TRUE(
+      waitFor([&] { return !dump(1)["log"]["available"].get<bool>(); }));
+  ASSERT_EQ(runCommand(publish(write("c.ini", ""))), 0);
+  const std::int64_t Version = version(0);
+  EXPECT_TRUE(waitFor([&] { return isEverywhere(Version); }, Limit));
+  expectWhole(ask(1, completion("still serves", 5)), "still serves", 5);
+}
+
 TEST_F(ConfigProcessTest, config_allRestart_isKept) {
   start();
   ASSERT_EQ(runCommand(publish(write("c.ini", ""))), 0);
--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -208,6 +208,18 @@
     EXPECT_EQ(moveAt(I).Row_.To_, "v2");
 }
 
+TEST_F(ReleaseTest, note_withTooLittleTime_isCalledInfeasibleAtOnce) {
+  World &W = start();
+  int Said = 0;
+  W.Watch_ = [&](int, const Effect &E) {
+    const auto *Line = std::get_if<WriteLog>(&E);
+    Said += Line != nullptr && Line->Event_ == "move_infeasible" ? 1 : 0;
+  };
+  W.publish(NoteRecord{NoOffset, "n", W.unixNow() + 3000, {{"m", "v2"}}});
+  W.run(1200);
+  EXPECT_EQ(Said, W.entries());
+}
+
 TEST_F(ReleaseTest, verdict_atEveryMoment_isSticky) {
   World &W = start();
   W.publish(NoteRecord{NoOffset, "one", W.unixNow() + 60000, {{"m", "v2"}}});
