--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -138,7 +138,7 @@
 double memoryOfClaims(int Count) {
   State S = makeState(someSettings(3), 1);
   const double Before = heapBytes();
-  for (int I = 0; I < Count; ++I) {
+  for (LogOffset I = 0; I < Count; ++I) {
     const std::string Key = fmt::format("account/booking-{:08}", I);
     LogRead Page;
     Page.Next_ = I + 1;
--- a/bench/judge.cpp
+++ b/bench/judge.cpp
@@ -12,8 +12,9 @@
 void judgeTarget(const std::string &Key, double Value, double Target,
                  bool AtMost) {
   const bool Met = AtMost ? Value <= Target : Value >= Target;
-  fmt::print("target {} {} {} {:.4g}: {:.4g} {}\n", Key, AtMost ? "at" : "at",
-             AtMost ? "most" : "least", Target, Value, Met ? "met" : "MISSED");
+  fmt::print("target {} {} {:.4g}: {:.4g} {}\n", Key,
+             AtMost ? "at most" : "at least", Target, Value,
+             Met ? "met" : "MISSED");
   std::fflush(stdout);
 }
 
--- a/bench/overload.cpp
+++ b/bench/overload.cpp
@@ -77,8 +77,11 @@
         W.killEngine(I);
     }
     // With a flood, account k0 sends as much as all others could use.
-    const int Account = Flood ? (Random() % 10 < 8 ? 0 : 1 + Random() % 4)
-                              : static_cast<int>(Random() % 5);
+    const auto Among = [&](int Count) {
+      return static_cast<int>(Random() % static_cast<std::uint64_t>(Count));
+    };
+    const bool Flooding = Flood && Among(10) < 8;
+    const int Account = Flooding ? 0 : Flood ? 1 + Among(4) : Among(5);
     CallRequest Request = World::completion(fmt::format("k{}", Account), "m",
                                             fmt::format("q{}", Number), Tokens);
     Request.TimeLimit_ = TimeLimit;
--- a/bench/routing.cpp
+++ b/bench/routing.cpp
@@ -186,7 +186,9 @@
   for (const Firm &F :
        {Firm{"kostkovna", 10, {}}, Firm{"chhatri", 12, Quotes}}) {
     std::map<std::string, std::map<std::string, double>> By;
-    for (const auto &[Name, Policy] : policies())
+    for (const auto &Row : policies()) {
+      const std::string &Name = Row.first;
+      const RoutePolicy &Policy = Row.second;
       By[Name] = report(
           fmt::format("routing_{}_{}", F.Name_, Name), Seeds,
           [&](std::uint64_t Seed) {
@@ -200,6 +202,7 @@
                     costAtTarget(Seed, Policy, F.Load_));
             return Out;
           });
+    }
     double BestBaselineCost = 1e9;
     for (const auto &[Name, Medians] : By)
       if (Name != "cost")
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -205,7 +205,6 @@
       // The reply is still wanted for the call's key: only the caller is told
       // that the time is up. The service limit ends the attempt.
       Out.push_back(RefuseCall{C.Id_, C.RequestId_, Error});
-      C.CallerPresent_ = false;
       C.Deadline_ = std::numeric_limits<Millis>::max();
       continue;
     }
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -124,7 +124,7 @@
   const Millis Limit =
       TimeLeft > 0 ? TimeLeft : S.Settings_.Limits_.DrainLimit_;
   const Millis Deadline = S.Now_ + Limit;
-  if (S.Stage_ == Stage::Draining || S.Stage_ == Stage::Leaving) {
+  if (S.Stage_ == Stage::Draining) {
     S.StopDeadline_ = std::min(S.StopDeadline_, Deadline);
     return;
   }
--- a/src/dump.cpp
+++ b/src/dump.cpp
@@ -13,15 +13,13 @@
 using Json = nlohmann::json;
 
 std::string_view name(Stage Value) {
-  constexpr std::array Names = {"starting", "serving", "draining", "leaving",
-                                "stopped"};
+  constexpr std::array Names = {"starting", "serving", "draining", "stopped"};
   return Names[static_cast<std::size_t>(Value)];
 }
 
 std::string_view name(CallPhase Value) {
   constexpr std::array Names = {"queued",       "claiming", "running",
-                                "awaiting_key", "finding",  "moving_out",
-                                "finished"};
+                                "awaiting_key", "finding",  "moving_out"};
   return Names[static_cast<std::size_t>(Value)];
 }
 
--- a/src/event.h
+++ b/src/event.h
@@ -106,7 +106,6 @@
   UpstreamKind Kind_ = UpstreamKind::Model;
   std::string Service_; ///< Name of the plain service.
   bool Leaving_ = false;
-  bool Reclaimable_ = false;
   bool ChecksEpoch_ = false; ///< Refuses orders with an old fencing number.
   double Price_ = 1;         ///< Per hour.
 };
--- a/src/handover.cpp
+++ b/src/handover.cpp
@@ -163,7 +163,7 @@
 }
 
 void tickStop(State &S, Effects &Out) {
-  if (S.Stage_ != Stage::Draining && S.Stage_ != Stage::Leaving)
+  if (S.Stage_ != Stage::Draining)
     return;
   const bool Short = S.StopDeadline_ - S.StopStartedAt_ < 2 * HandoverLead;
   const Millis Unready = Short ? 0 : UnreadyTime;
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -409,7 +409,7 @@
 
 HttpEdge::~HttpEdge() = default;
 
-void HttpEdge::open(std::function<void(std::string)> Failed) {
+void HttpEdge::open(const std::function<void(std::string)> &Failed) {
   Impl &I = *Impl_;
   I.Callers_ = I.makeServer(I.Settings_.Listen_, [&I](const auto &Request) {
     return I.onCaller(Request);
@@ -417,7 +417,7 @@
   I.Operators_ =
       I.makeServer(I.Settings_.OperatorListen_,
                    [&I](const auto &Request) { return I.onOperator(Request); });
-  const auto OnError = [Failed](std::exception_ptr Error) {
+  const auto OnError = [Failed](const std::exception_ptr &Error) {
     try {
       std::rethrow_exception(Error);
     } catch (const std::exception &E) {
@@ -565,7 +565,7 @@
 
 void HttpEdge::closeListener() {
   Impl_->Closing_ = true;
-  Impl_->Callers_->close_async([] {}, [](std::exception_ptr) {});
+  Impl_->Callers_->close_async([] {}, [](const std::exception_ptr &) {});
 }
 
 bool HttpEdge::isIdle() const {
--- a/src/http.h
+++ b/src/http.h
@@ -29,7 +29,7 @@
 
   /// Listens on both addresses.
   /// @param Failed called if an address can't be used
-  void open(std::function<void(std::string)> Failed);
+  void open(const std::function<void(std::string)> &Failed);
 
   void operator()(const StartStream &E);
   void operator()(const SendToken &E);
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -62,13 +62,12 @@
   std::string Bytes(static_cast<const char *>(nng_msg_body(Message)),
                     nng_msg_len(Message));
   nng_msg_free(Message);
-  asio::post(Self.Io_, [&Self, Bytes = std::move(Bytes)]() mutable {
-    Self.deliver(std::move(Bytes));
-  });
+  asio::post(Self.Io_,
+             [&Self, Bytes = std::move(Bytes)] { Self.deliver(Bytes); });
   Self.receiveNext();
 }
 
-void PeerLinks::deliver(std::string Bytes) {
+void PeerLinks::deliver(const std::string &Bytes) {
   BytesReceived_ += static_cast<std::int64_t>(Bytes.size());
   auto Envelope = decodeMessage(Bytes);
   if (Envelope)
--- a/src/peers.h
+++ b/src/peers.h
@@ -50,7 +50,7 @@
 
   static void onReceived(void *User);
   void receiveNext();
-  void deliver(std::string Bytes);
+  void deliver(const std::string &Bytes);
   bool openLink(Link &L);
 
   asio::io_context &Io_;
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -50,7 +50,6 @@
   Row.Kind_ =
       Row.Service_.empty() ? UpstreamKind::Model : UpstreamKind::Service;
   Row.Leaving_ = Item.value("leaving", false);
-  Row.Reclaimable_ = Item.value("reclaimable", false);
   Row.ChecksEpoch_ = Item.value("checks_epoch", false);
   Row.Price_ = Item.value("price", 1.0);
   return Row;
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -266,8 +266,9 @@
 /// Least time that a move takes: its loads one after the other, its steps.
 Millis leastTime(const State &S, const Move &M) {
   const LoadCount Loads = countLoads(S, M);
-  const int Rounds = (Loads.Serving_ - Loads.Loaded_ + MaxLoads - 1) / MaxLoads;
-  return Rounds * TypicalLoadTime + stepsLeft(M.Row_.Share_) * MinStepTime;
+  const Millis Rounds =
+      (Loads.Serving_ - Loads.Loaded_ + MaxLoads - 1) / MaxLoads;
+  return Rounds * TypicalLoadTime + MinStepTime * stepsLeft(M.Row_.Share_);
 }
 
 /// Says when the note comes what can't be done in its time.
--- a/src/resume.cpp
+++ b/src/resume.cpp
@@ -161,7 +161,6 @@
   if (C == nullptr)
     return;
   count(S, "callers_gone");
-  C->CallerPresent_ = false;
   // A call that may not be repeated runs to its end: its outcome is what a
   // caller who asks again with the same key gets.
   if (isUnrepeatableCall(S, *C) && C->Phase_ == CallPhase::Running)
--- a/src/state.h
+++ b/src/state.h
@@ -71,8 +71,7 @@
   Running,     ///< Has an attempt.
   AwaitingKey, ///< Waits for the outcome of another call with the same key.
   Finding,     ///< Waits for a peer to send the call's record.
-  MovingOut,   ///< Frozen until a peer acknowledges the record.
-  Finished
+  MovingOut    ///< Frozen until a peer acknowledges the record.
 };
 
 /// One caller's request from acceptance to the answer.
@@ -85,7 +84,6 @@
   Millis ArrivedAt_ = 0;
   Millis DispatchedAt_ = 0; ///< First attempt; 0: none yet.
   Millis Deadline_ = 0;
-  bool CallerPresent_ = true;
   bool StreamStarted_ = false;
 
   std::string Text_;                   ///< Generated so far.
@@ -94,7 +92,6 @@
   std::vector<std::size_t> TokenEnds_; ///< End of each token within Text_.
   std::string FinishReason_;
   std::int64_t PromptTokens_ = 0;
-  Millis FinishedAt_ = 0;
 
   AttemptId Attempt_ = 0; ///< 0: none.
   int Attempts_ = 0;
@@ -221,7 +218,6 @@
   double Credit_ = 0; ///< Requests for the new version that are due.
   std::int64_t NewAttempts_ = 0;
   bool LateReported_ = false;
-  bool DoneReported_ = false;
   double PendingShare_ = -1; ///< Share asked for and not yet in the log.
   Millis PendingSince_ = 0;
 };
@@ -294,7 +290,7 @@
   std::deque<std::pair<Millis, std::string>> Order_;
 };
 
-enum class Stage { Starting, Serving, Draining, Leaving, Stopped };
+enum class Stage { Starting, Serving, Draining, Stopped };
 
 struct State {
   Settings Settings_;
--- a/standins/cloud.cpp
+++ b/standins/cloud.cpp
@@ -9,12 +9,11 @@
 public:
   Hosts(asio::io_context &Io, const Options &From)
       : Io_(Io), LagMs_(From.LagMs_),
-        Web_(Io, From.Port_, [this](const auto &R, auto Reply) {
-          handle(R, std::move(Reply));
-        }) {}
+        Web_(Io, From.Port_,
+             [this](const auto &R, auto Reply) { handle(R, Reply); }) {}
 
 private:
-  void handle(const WebRequest &R, WebReplyPtr Reply) {
+  void handle(const WebRequest &R, const WebReplyPtr &Reply) {
     if (R.Path_ == "/hosts") {
       if (Outage_)
         Reply->json(503, {{"error", "outage"}});
@@ -25,7 +24,7 @@
     const Json Body = parseBody(R);
     Outage_ = Body.value("outage", Outage_);
     if (Body.contains("hosts")) {
-      const Json Next = Body["hosts"];
+      const Json &Next = Body["hosts"];
       after(Io_, Body.value("lag_ms", LagMs_), [this, Next] { Shown_ = Next; });
     }
     Reply->json(200, {{"ok", true}});
@@ -41,12 +40,11 @@
 class Cloud {
 public:
   Cloud(asio::io_context &Io, const Options &From)
-      : Web_(Io, From.Port_, [this](const auto &R, auto Reply) {
-          handle(R, std::move(Reply));
-        }) {}
+      : Web_(Io, From.Port_,
+             [this](const auto &R, auto Reply) { handle(R, Reply); }) {}
 
 private:
-  void handle(const WebRequest &R, WebReplyPtr Reply) {
+  void handle(const WebRequest &R, const WebReplyPtr &Reply) {
     if (R.Path_ == "/notices") {
       const auto After = R.Query_.find("after");
       const auto From =
--- a/standins/engine.cpp
+++ b/standins/engine.cpp
@@ -67,7 +67,7 @@
 private:
   void handle(const WebRequest &R, WebReplyPtr Reply) {
     if (R.Path_ == "/health")
-      health(std::move(Reply));
+      health(Reply);
     else if (R.Path_ == "/stats")
       Reply->json(200, {{"prompt_tokens", PromptTokens_},
                         {"computed_tokens", ComputedTokens_},
@@ -76,16 +76,16 @@
                         {"started", Started_},
                         {"by_version", ByVersion_}});
     else if (R.Path_ == "/control")
-      control(parseBody(R), std::move(Reply));
+      control(parseBody(R), Reply);
     else if (R.Path_ == "/orders")
-      order(parseBody(R), std::move(Reply));
+      order(parseBody(R), Reply);
     else if (R.Path_ == "/v1/chat/completions" || R.Path_ == "/v1/completions")
       complete(R, std::move(Reply));
     else
       Reply->json(404, {{"error", "no such path"}});
   }
 
-  void health(WebReplyPtr Reply) {
+  void health(const WebReplyPtr &Reply) {
     // The report lags: what is told is what was so a moment ago.
     const Json Report = {{"leaving", Leaving_ && !HideLeaving_},
                          {"running", Running_},
@@ -113,7 +113,7 @@
     return Rows;
   }
 
-  void control(const Json &Body, WebReplyPtr Reply) {
+  void control(const Json &Body, const WebReplyPtr &Reply) {
     Leaving_ = Body.value("leaving", Leaving_);
     HideLeaving_ = Body.value("hide_leaving", HideLeaving_);
     if (Body.contains("fault")) {
@@ -130,7 +130,7 @@
     Reply->json(200, {{"ok", true}});
   }
 
-  void order(const Json &Body, WebReplyPtr Reply) {
+  void order(const Json &Body, const WebReplyPtr &Reply) {
     const std::int64_t Epoch = Body.value("epoch", std::int64_t{-1});
     if (From_.CheckEpoch_ && Epoch < LastEpoch_) {
       Reply->json(409, {{"error", "old fencing number"}});
--- a/standins/log.cpp
+++ b/standins/log.cpp
@@ -32,7 +32,7 @@
         return Found == R.Query_.end() ? Default : std::stoll(Found->second);
       };
       read(Number("from", 0), Number("max", 500),
-           nowMs() + Number("wait_ms", 0), std::move(Reply));
+           nowMs() + Number("wait_ms", 0), Reply);
     } else {
       Reply->json(404, {{"error", "no such path"}});
     }
@@ -73,7 +73,7 @@
   }
 
   void read(std::int64_t From, std::int64_t Max, std::int64_t Until,
-            WebReplyPtr Reply) {
+            const WebReplyPtr &Reply) {
     if (Outage_) {
       Reply->json(503, {{"error", "outage"}});
       return;
--- a/standins/web.cpp
+++ b/standins/web.cpp
@@ -99,7 +99,7 @@
             });
       });
   Impl_->Server_->open_async([] {},
-                             [](std::exception_ptr) {
+                             [](const std::exception_ptr &) {
                                std::fputs("standin: the port is in use\n",
                                           stderr);
                                std::exit(1);
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -89,7 +89,7 @@
     return Request;
   });
   W.run(6000);
-  const auto Of = [](std::string Key) {
+  const auto Of = [](const std::string &Key) {
     return [Key](const Outcome &O) { return O.Request_.ApiKey_ == Key; };
   };
   int Sent = 0;
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -43,7 +43,7 @@
 }
 
 RC_GTEST_PROP(CodecTest, record_anyValues_survivesTheTrip,
-              (std::string Key, std::uint64_t Number, bool Known)) {
+              (const std::string &Key, std::uint64_t Number, bool Known)) {
   ClaimDoneRecord Sent{text(Key), "claim",      Known,
                        200,       "text/plain", text(Key + "body")};
   const auto Got = decodeRecord(encodeRecord(Sent));
@@ -56,7 +56,8 @@
   RC_ASSERT(std::get<ClaimRecord>(*Claim).Fingerprint_ == Number);
 }
 
-RC_GTEST_PROP(CodecTest, message_anyBytes_doesNoHarm, (std::string Bytes)) {
+RC_GTEST_PROP(CodecTest, message_anyBytes_doesNoHarm,
+              (const std::string &Bytes)) {
   State S = makeState({}, 1);
   const auto Message = decodeMessage(Bytes);
   if (Message)
--- a/tests/fixture.h
+++ b/tests/fixture.h
@@ -13,7 +13,7 @@
 protected:
   static constexpr Millis StartTime = 8000; // ms until a lease is held
 
-  World &start(WorldOptions Options = {}, int EnginesPerCentre = 2) {
+  World &start(const WorldOptions &Options = {}, int EnginesPerCentre = 2) {
     World_ = std::make_unique<World>(Options);
     World &W = *World_;
     for (int I = 0; I < EnginesPerCentre * Options.DataCentres_; ++I)
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -73,7 +73,8 @@
   EXPECT_FALSE(read(Text).has_value());
 }
 
-RC_GTEST_PROP(SettingsTest, text_anything_doesNoHarm, (std::string Text)) {
+RC_GTEST_PROP(SettingsTest, text_anything_doesNoHarm,
+              (const std::string &Text)) {
   static_cast<void>(read(Text));
   static_cast<void>(parseConfiguration(Text, "x"));
   static_cast<void>(parseNote(Text, "x"));
