Refusals by busy upstreams don't use up a call; mistakes in one place

Fault found while reading: eight refusals by busy engines, which can come within milliseconds, ended an accepted call as upstream_failed. Red: engines_refuseForAWhile_acceptedCallsAreStillAnswered (20 of 20 calls). Change: only attempts that an upstream took count against a call, and a refusal keeps that upstream out for 100 ms, so the call waits here in place of knocking again.

--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -5,7 +5,7 @@
 #include "claims.h"
 #include "core.h"
 #include "dispatch.h"
-#include "fmt/format.h"
+#include <fmt/format.h>
 #include "resume.h"
 #include "router.h"
 #include "xxhash.h"
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -89,7 +89,7 @@
 /// Collects mistakes while one configuration is read.
 class ConfigurationReader {
 public:
-  explicit ConfigurationReader(std::string_view File) : File_(File) {}
+  explicit ConfigurationReader(std::string_view File) : Mistakes_(File) {}
 
   void read(const IniSection &Section) {
     if (Section.Kind_ == "account")
@@ -99,7 +99,8 @@
     else if (Section.Kind_ == "service")
       readService(Section);
     else
-      add(Section, Section.Line_, "",
+      Mistakes_.add(
+          Section, Section.Line_, "",
           fmt::format(
               "a section account, model or service; nearest: {}",
               nearestWord(Section.Kind_, {"account", "model", "service"})));
@@ -107,32 +108,16 @@
 
   tl::expected<Configuration, FileMistakes> finish() {
     if (!Mistakes_.empty())
-      return tl::unexpected(std::move(Mistakes_));
+      return tl::unexpected(Mistakes_.take());
     return std::move(Result_);
   }
 
 private:
-  void add(const IniSection &Section, int Line, std::string_view Key,
-           std::string Expected) {
-    const std::string Name = Section.Name_.empty()
-                                 ? Section.Kind_
-                                 : Section.Kind_ + " " + Section.Name_;
-    Mistakes_.push_back(
-        {File_, Line, Name, std::string(Key), std::move(Expected)});
-  }
-
-  void addUnknownKey(const IniSection &Section, const IniSection::Entry &Entry,
-                     const std::vector<std::string> &Known) {
-    add(Section, Entry.Line_, Entry.Key_,
-        fmt::format("a known key; nearest: {}",
-                    nearestWord(Entry.Key_, Known)));
-  }
-
   double positive(const IniSection &Section, const IniSection::Entry &Entry) {
     bool Ok = false;
     const double Number = parseNumber(Entry.Value_, Ok);
     if (!Ok || Number <= 0)
-      add(Section, Entry.Line_, Entry.Key_, "a number above 0");
+      Mistakes_.add(Section, Entry.Line_, Entry.Key_, "a number above 0");
     return Number;
   }
 
@@ -149,15 +134,16 @@
       else if (Entry.Key_ == "max_in_flight")
         New.MaxInFlight_ = static_cast<int>(positive(Section, Entry));
       else
-        addUnknownKey(Section, Entry,
-                      {"key", "weight", "rate", "max_in_flight"});
+        Mistakes_.addUnknownKey(Section, Entry,
+                                {"key", "weight", "rate", "max_in_flight"});
     }
     if (New.Name_.empty())
-      add(Section, Section.Line_, "", "a name: [account NAME]");
+      Mistakes_.add(Section, Section.Line_, "", "a name: [account NAME]");
     if (New.Key_.empty())
-      add(Section, Section.Line_, "key", "a secret key");
+      Mistakes_.add(Section, Section.Line_, "key", "a secret key");
     else if (!Result_.AccountsByKey_.emplace(New.Key_, New).second)
-      add(Section, Section.Line_, "key", "a key that no other account has");
+      Mistakes_.add(Section, Section.Line_, "key",
+                    "a key that no other account has");
   }
 
   void readModel(const IniSection &Section) {
@@ -166,10 +152,11 @@
       if (Entry.Key_ == "version")
         New.Version_ = Entry.Value_;
       else
-        addUnknownKey(Section, Entry, {"version"});
+        Mistakes_.addUnknownKey(Section, Entry, {"version"});
     }
     if (New.Version_.empty())
-      add(Section, Section.Line_, "version", "the version that serves");
+      Mistakes_.add(Section, Section.Line_, "version",
+                    "the version that serves");
     Result_.Models_[New.Name_] = New;
   }
 
@@ -179,7 +166,7 @@
       if (Entry.Key_ == "unrepeatable")
         readRoutes(Section, Entry, New);
       else
-        addUnknownKey(Section, Entry, {"unrepeatable"});
+        Mistakes_.addUnknownKey(Section, Entry, {"unrepeatable"});
     }
     Result_.Services_[New.Name_] = New;
   }
@@ -193,7 +180,8 @@
       Rest = Comma == std::string_view::npos ? "" : Rest.substr(Comma + 1);
       const auto Space = Item.find(' ');
       if (Space == std::string::npos || Item.find('/') != Space + 1) {
-        add(Section, Entry.Line_, Entry.Key_, "METHOD /path, METHOD /path");
+        Mistakes_.add(Section, Entry.Line_, Entry.Key_,
+                      "METHOD /path, METHOD /path");
         continue;
       }
       Service.Unrepeatable_.push_back(
@@ -201,9 +189,8 @@
     }
   }
 
-  std::string File_;
   Configuration Result_;
-  FileMistakes Mistakes_;
+  MistakeCollector Mistakes_;
 };
 
 int editDistance(std::string_view A, std::string_view B) {
@@ -224,6 +211,25 @@
 
 } // namespace
 
+void MistakeCollector::add(const IniSection &Section, int Line,
+                           std::string_view Key, std::string Expected) {
+  const std::string Name = Section.Name_.empty()
+                               ? Section.Kind_
+                               : Section.Kind_ + " " + Section.Name_;
+  All_.push_back({File_, Line, Name, std::string(Key), std::move(Expected)});
+}
+
+void MistakeCollector::addUnknownKey(const IniSection &Section,
+                                     const IniSection::Entry &Entry,
+                                     const std::vector<std::string> &Known) {
+  add(Section, Entry.Line_, Entry.Key_,
+      fmt::format("a known key; nearest: {}", nearestWord(Entry.Key_, Known)));
+}
+
+void MistakeCollector::addAll(const FileMistakes &More) {
+  All_.insert(All_.end(), More.begin(), More.end());
+}
+
 tl::expected<std::vector<IniSection>, FileMistakes>
 parseIni(std::string_view Text, std::string_view File) {
   IniReader Reader{Text, 0, {}};
--- a/src/config.h
+++ b/src/config.h
@@ -72,6 +72,27 @@
   std::vector<Entry> Entries_;
 };
 
+/// Collects the mistakes of one file.
+class MistakeCollector {
+public:
+  explicit MistakeCollector(std::string_view File) : File_(File) {}
+
+  /// @param Line 0: the file as a whole
+  void add(const IniSection &Section, int Line, std::string_view Key,
+           std::string Expected);
+  void addUnknownKey(const IniSection &Section, const IniSection::Entry &Entry,
+                     const std::vector<std::string> &Known);
+  void addAll(const FileMistakes &More);
+
+  bool empty() const { return All_.empty(); }
+  FileMistakes take() { return std::move(All_); }
+  const std::string &file() const { return File_; }
+
+private:
+  std::string File_;
+  FileMistakes All_;
+};
+
 /// Reads INI text into sections in file order.
 /// @param Text whole file
 /// @param File name used in mistakes
--- a/src/note.cpp
+++ b/src/note.cpp
@@ -26,7 +26,7 @@
 
 class NoteReader {
 public:
-  explicit NoteReader(std::string_view File) : File_(File) {}
+  explicit NoteReader(std::string_view File) : Mistakes_(File) {}
 
   void read(const IniSection &Section) {
     if (Section.Kind_ == "note")
@@ -34,32 +34,23 @@
     else if (Section.Kind_ == "change")
       readChange(Section);
     else
-      add(Section, Section.Line_, "", "a section note or change");
+      Mistakes_.add(Section, Section.Line_, "", "a section note or change");
   }
 
   tl::expected<NoteRecord, FileMistakes> finish() {
     const IniSection Whole{"note", "", 0, {}};
     if (Result_.Id_.empty())
-      add(Whole, 0, "id", "a name for the note; the key is missing");
+      Mistakes_.add(Whole, 0, "id", "a name for the note; the key is missing");
     if (Result_.DeadlineUnixMs_ == 0)
-      add(Whole, 0, "by", "a time, or within = DURATION");
+      Mistakes_.add(Whole, 0, "by", "a time, or within = DURATION");
     if (Result_.Changes_.empty())
-      add(Whole, 0, "", "a section [change MODEL]");
+      Mistakes_.add(Whole, 0, "", "a section [change MODEL]");
     if (!Mistakes_.empty())
-      return tl::unexpected(std::move(Mistakes_));
+      return tl::unexpected(Mistakes_.take());
     return std::move(Result_);
   }
 
 private:
-  void add(const IniSection &Section, int Line, std::string_view Key,
-           std::string Expected) {
-    const std::string Name = Section.Name_.empty()
-                                 ? Section.Kind_
-                                 : Section.Kind_ + " " + Section.Name_;
-    Mistakes_.push_back(
-        {File_, Line, Name, std::string(Key), std::move(Expected)});
-  }
-
   void readHead(const IniSection &Section) {
     for (const auto &Entry : Section.Entries_) {
       if (Entry.Key_ == "id") {
@@ -67,18 +58,17 @@
       } else if (Entry.Key_ == "by") {
         Result_.DeadlineUnixMs_ = parseUtc(Entry.Value_);
         if (Result_.DeadlineUnixMs_ < 0)
-          add(Section, Entry.Line_, Entry.Key_,
-              "a UTC time such as 2027-03-01T06:00:00Z");
+          Mistakes_.add(Section, Entry.Line_, Entry.Key_,
+                        "a UTC time such as 2027-03-01T06:00:00Z");
       } else if (Entry.Key_ == "within") {
         const auto Span = parseDuration(Entry.Value_);
         if (Span)
           Result_.DeadlineUnixMs_ = unixNow() + *Span;
         else
-          add(Section, Entry.Line_, Entry.Key_, "a duration such as 10m");
+          Mistakes_.add(Section, Entry.Line_, Entry.Key_,
+                        "a duration such as 10m");
       } else {
-        add(Section, Entry.Line_, Entry.Key_,
-            fmt::format("a known key; nearest: {}",
-                        nearestWord(Entry.Key_, {"id", "by", "within"})));
+        Mistakes_.addUnknownKey(Section, Entry, {"id", "by", "within"});
       }
     }
   }
@@ -89,18 +79,17 @@
       if (Entry.Key_ == "to")
         Change.To_ = Entry.Value_;
       else
-        add(Section, Entry.Line_, Entry.Key_, "a known key; nearest: to");
+        Mistakes_.addUnknownKey(Section, Entry, {"to"});
     }
     if (Change.Model_.empty())
-      add(Section, Section.Line_, "", "a model: [change MODEL]");
+      Mistakes_.add(Section, Section.Line_, "", "a model: [change MODEL]");
     if (Change.To_.empty())
-      add(Section, Section.Line_, "to", "the new version");
+      Mistakes_.add(Section, Section.Line_, "to", "the new version");
     Result_.Changes_.push_back(Change);
   }
 
-  std::string File_;
   NoteRecord Result_;
-  FileMistakes Mistakes_;
+  MistakeCollector Mistakes_;
 };
 
 } // namespace
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -8,7 +8,7 @@
 #include "claims.h"
 #include "core.h"
 #include "dispatch.h"
-#include "fmt/format.h"
+#include <fmt/format.h>
 #include "release.h"
 #include "resume.h"
 #include "upstreams.h"
@@ -18,9 +18,33 @@
 
 namespace {
 
-constexpr int MaxAttempts = 8; // per call
+constexpr int MaxFailures = 8; // per call, refusals not counted
 constexpr double MovingAverageShare = 0.1;
 
+/// The upstream has not taken the call: nothing is lost by another try.
+bool isUntouched(AttemptFailure Failure) {
+  return Failure == AttemptFailure::NotSent ||
+         Failure == AttemptFailure::Refused;
+}
+
+/// Puts a call back at the front of its queue, or refuses it for good.
+/// @param Budgeted the retry costs one from the budget
+void retryOrRefuse(State &S, Call &C, const AttemptFailed &E, bool Budgeted,
+                   Effects &Out) {
+  if (!isUntouched(E.Failure_))
+    ++C.Failures_;
+  if (C.Failures_ >= MaxFailures || (Budgeted && !takeRetry(S))) {
+    refuse(S, C,
+           {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_,
+            retryAfter(S, C.Request_.Priority_)},
+           Out);
+    return;
+  }
+  count(S, "retries");
+  C.Phase_ = CallPhase::Queued;
+  enqueue(S, C, true);
+}
+
 void retryCompletion(State &S, Call &C, const Attempt &A,
                      const AttemptFailed &E, Effects &Out) {
   if (A.NewVersion_)
@@ -39,16 +63,7 @@
   const bool Budgeted = (E.Failure_ == AttemptFailure::Failed ||
                          E.Failure_ == AttemptFailure::Garbage) &&
                         !A.NewVersion_;
-  if (C.Attempts_ >= MaxAttempts || (Budgeted && !takeRetry(S))) {
-    refuse(S, C,
-           {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_,
-            retryAfter(S, C.Request_.Priority_)},
-           Out);
-    return;
-  }
-  count(S, "retries");
-  C.Phase_ = CallPhase::Queued;
-  enqueue(S, C, true);
+  retryOrRefuse(S, C, E, Budgeted, Out);
 }
 
 void failUnrepeatable(State &S, Call &C, const AttemptFailed &E, Effects &Out) {
@@ -63,24 +78,14 @@
 
 void retryService(State &S, Call &C, const Attempt &A, const AttemptFailed &E,
                   Effects &Out) {
-  const bool Untouched = E.Failure_ == AttemptFailure::NotSent ||
-                         E.Failure_ == AttemptFailure::Refused;
+  const bool Untouched = isUntouched(E.Failure_);
   if (!Untouched && isUnrepeatableCall(S, C)) {
     failUnrepeatable(S, C, E, Out);
     return;
   }
   C.TriedUpstreams_.insert(A.Upstream_);
   C.FreshConnection_ = !Untouched;
-  if (C.Attempts_ >= MaxAttempts || (!Untouched && !takeRetry(S))) {
-    refuse(S, C,
-           {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_,
-            retryAfter(S, C.Request_.Priority_)},
-           Out);
-    return;
-  }
-  count(S, "retries");
-  C.Phase_ = CallPhase::Queued;
-  enqueue(S, C, true);
+  retryOrRefuse(S, C, E, !Untouched, Out);
 }
 
 } // namespace
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -153,7 +153,8 @@
 /// Time per step, planned backwards from the note's time.
 Millis stepTime(const State &S, const Move &M) {
   const Millis Left = M.Row_.DeadlineUnixMs_ - S.UnixMs_;
-  const Millis Planned = Left / (2 * std::max(1, stepsLeft(M.Row_.Share_)));
+  const Millis Steps = std::max(1, stepsLeft(M.Row_.Share_));
+  const Millis Planned = Left / (2 * Steps); // half is kept in reserve
   return std::clamp(Planned, MinStepTime, MaxStepTime);
 }
 
@@ -266,8 +267,8 @@
 /// Least time that a move takes: its loads one after the other, its steps.
 Millis leastTime(const State &S, const Move &M) {
   const LoadCount Loads = countLoads(S, M);
-  const Millis Rounds =
-      (Loads.Serving_ - Loads.Loaded_ + MaxLoads - 1) / MaxLoads;
+  const Millis Missing = Loads.Serving_ - Loads.Loaded_;
+  const Millis Rounds = (Missing + MaxLoads - 1) / MaxLoads;
   return Rounds * TypicalLoadTime + MinStepTime * stepsLeft(M.Row_.Share_);
 }
 
--- a/src/resume.cpp
+++ b/src/resume.cpp
@@ -6,7 +6,7 @@
 #include "claims.h"
 #include "core.h"
 #include "dispatch.h"
-#include "fmt/format.h"
+#include <fmt/format.h>
 #include "handover.h"
 #include "outcomes.h"
 #include <algorithm>
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -129,10 +129,9 @@
 } // namespace
 
 SettingsBuilder &SettingsBuilder::addText(std::string_view Text) {
-  auto Sections = parseIni(Text, File_);
+  auto Sections = parseIni(Text, Mistakes_.file());
   if (!Sections) {
-    Mistakes_.insert(Mistakes_.end(), Sections.error().begin(),
-                     Sections.error().end());
+    Mistakes_.addAll(Sections.error());
     return *this;
   }
   for (const IniSection &Section : *Sections)
@@ -140,15 +139,6 @@
   return *this;
 }
 
-void SettingsBuilder::addMistake(const IniSection &Section, int Line,
-                                 std::string_view Key, std::string Expected) {
-  const std::string Name = Section.Name_.empty()
-                               ? Section.Kind_
-                               : Section.Kind_ + " " + Section.Name_;
-  Mistakes_.push_back(
-      {File_, Line, Name, std::string(Key), std::move(Expected)});
-}
-
 void SettingsBuilder::addSection(const IniSection &Section) {
   if (Section.Kind_ == "peer") {
     PeerSettings Peer;
@@ -159,24 +149,22 @@
       else if (Entry.Key_ == "zone")
         Peer.Zone_ = Entry.Value_;
       else if (Entry.Key_ != "address")
-        addMistake(Section, Entry.Line_, Entry.Key_,
-                   fmt::format("a known key; nearest: {}",
-                               nearestWord(Entry.Key_, PeerKeys)));
+        Mistakes_.addUnknownKey(Section, Entry, PeerKeys);
       else if (const auto Parsed = parseAddress(Entry.Value_))
         Peer.Address_ = *Parsed;
       else
-        addMistake(Section, Entry.Line_, Entry.Key_,
-                   "an IP number and port, such as 127.0.0.1:8080");
+        Mistakes_.add(Section, Entry.Line_, Entry.Key_,
+                      "an IP number and port, such as 127.0.0.1:8080");
     }
     Result_.Peers_.push_back(Peer);
     return;
   }
   const std::vector<std::string> Known = keysOf(Section.Kind_);
   if (Known.empty()) {
-    addMistake(Section, Section.Line_, "",
-               fmt::format("a known section; nearest: {}",
-                           nearestWord(Section.Kind_, {"entry", "platform",
-                                                       "limits", "peer"})));
+    Mistakes_.add(Section, Section.Line_, "",
+                  fmt::format("a known section; nearest: {}",
+                              nearestWord(Section.Kind_, {"entry", "platform",
+                                                          "limits", "peer"})));
     return;
   }
   for (const auto &Entry : Section.Entries_) {
@@ -185,14 +173,12 @@
           return R.Section_ == Section.Kind_ && R.Key_ == Entry.Key_;
         });
     if (Rule == rules().end()) {
-      addMistake(Section, Entry.Line_, Entry.Key_,
-                 fmt::format("a known key; nearest: {}",
-                             nearestWord(Entry.Key_, Known)));
+      Mistakes_.addUnknownKey(Section, Entry, Known);
       continue;
     }
     std::string Expected = Rule->Read_(Result_, Entry.Value_);
     if (!Expected.empty())
-      addMistake(Section, Entry.Line_, Entry.Key_, std::move(Expected));
+      Mistakes_.add(Section, Entry.Line_, Entry.Key_, std::move(Expected));
   }
 }
 
@@ -204,15 +190,15 @@
       {"zone", Result_.Zone_}};
   for (const auto &[Key, Value] : Required)
     if (Value.empty())
-      addMistake(Whole, 0, Key, "a value; the key is missing");
+      Mistakes_.add(Whole, 0, Key, "a value; the key is missing");
   std::map<std::string, std::string> Users;
   const auto Claim = [&](const SocketAddress &Address, std::string User) {
     if (Address.Port_ == 0)
-      addMistake(Whole, 0, User, "an address; the key is missing");
+      Mistakes_.add(Whole, 0, User, "an address; the key is missing");
     else if (!Users.emplace(format(Address), User).second)
-      addMistake(Whole, 0, User,
-                 fmt::format("an address of its own; {} is that of {}",
-                             format(Address), Users[format(Address)]));
+      Mistakes_.add(Whole, 0, User,
+                    fmt::format("an address of its own; {} is that of {}",
+                                format(Address), Users[format(Address)]));
   };
   Claim(Result_.Listen_, "listen");
   Claim(Result_.OperatorListen_, "operator_listen");
@@ -220,9 +206,9 @@
   for (const PeerSettings &Peer : Result_.Peers_) {
     const IniSection Section{"peer", Peer.Name_, 0, {}};
     if (Peer.Name_ == Result_.Name_ || Peer.Name_.empty())
-      addMistake(Section, 0, "", "a name that is not this process's");
+      Mistakes_.add(Section, 0, "", "a name that is not this process's");
     if (Peer.DataCentre_.empty())
-      addMistake(Section, 0, "data_centre", "a value; the key is missing");
+      Mistakes_.add(Section, 0, "data_centre", "a value; the key is missing");
     Claim(Peer.Address_, "peer " + Peer.Name_);
   }
   const std::map<std::string, std::string> Urls = {
@@ -230,13 +216,13 @@
   const IniSection Platform{"platform", "", 0, {}};
   for (const auto &[Key, Value] : Urls)
     if (Value.rfind("http", 0) != 0)
-      addMistake(Platform, 0, Key, "a URL that starts with http");
+      Mistakes_.add(Platform, 0, Key, "a URL that starts with http");
 }
 
 tl::expected<Settings, FileMistakes> SettingsBuilder::build() {
   checkTogether();
   if (!Mistakes_.empty())
-    return tl::unexpected(std::move(Mistakes_));
+    return tl::unexpected(Mistakes_.take());
   return std::move(Result_);
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -56,7 +56,7 @@
 /// Builds settings section by section and collects every mistake.
 class SettingsBuilder {
 public:
-  explicit SettingsBuilder(std::string_view File) : File_(File) {}
+  explicit SettingsBuilder(std::string_view File) : Mistakes_(File) {}
 
   /// Adds all sections of an INI text.
   SettingsBuilder &addText(std::string_view Text);
@@ -67,13 +67,10 @@
 
 private:
   void addSection(const IniSection &Section);
-  void addMistake(const IniSection &Section, int Line, std::string_view Key,
-                  std::string Expected);
   void checkTogether();
 
-  std::string File_;
   Settings Result_;
-  FileMistakes Mistakes_;
+  MistakeCollector Mistakes_;
 };
 
 /// Reads and checks a settings file.
--- a/src/state.h
+++ b/src/state.h
@@ -95,6 +95,7 @@
 
   AttemptId Attempt_ = 0; ///< 0: none.
   int Attempts_ = 0;
+  int Failures_ = 0; ///< Attempts that an upstream took and did not finish.
   std::set<int> TriedUpstreams_;
   int BrokenUpstream_ = -1;      ///< Where the last attempt failed.
   bool AvoidNewVersion_ = false; ///< The new version has failed this call.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -15,6 +15,7 @@
 constexpr Millis HostListPeriod = 500;  // ms between reads
 constexpr Millis NoticePeriod = 250;    // ms between reads
 constexpr Millis ProbePeriod = 500;     // ms between probes of one upstream
+constexpr Millis RefusalPause = 100;    // ms after a refusal
 constexpr Millis AvoidTime = 500;       // ms after a failure, doubled in a row
 constexpr Millis MaxAvoidTime = 8000;   // ms
 constexpr int ProbesPerTick = 8;        // bound on the probing work of a tick
@@ -148,6 +149,8 @@
   switch (Failure) {
   case AttemptFailure::Refused:
     U.Limit_ = std::max(1.0, U.Limit_ * LimitCut);
+    // The call waits here for a moment rather than knock again at once.
+    U.AvoidUntil_ = std::max(U.AvoidUntil_, S.Now_ + RefusalPause);
     break;
   case AttemptFailure::NotSent:
   case AttemptFailure::Garbage:
--- a/tests/admission_test.cpp
+++ b/tests/admission_test.cpp
@@ -137,6 +137,21 @@
             All / 50); // a tenth of one process's quarter, less its start
 }
 
+TEST_F(AdmissionTest, engines_refuseForAWhile_acceptedCallsAreStillAnswered) {
+  World &W = start();
+  for (FakeEngine &E : W.Engines_)
+    E.Shape_.Queue_ = 0; // every attempt is refused
+  std::vector<std::size_t> All;
+  for (int I = 0; I < 20; ++I)
+    All.push_back(W.send(I % 4, prompt(fmt::format("q{}", I), 5)));
+  W.run(2000);
+  for (FakeEngine &E : W.Engines_)
+    E.Shape_.Queue_ = 16;
+  W.run(3000);
+  for (const auto Which : All)
+    EXPECT_TRUE(W.outcome(Which).Answered_);
+}
+
 TEST_F(AdmissionTest, outage_ofAllEngines_makesNoRetryStorm) {
   World &W = start();
   for (FakeEngine &E : W.Engines_)
