The settings reference in the docs is checked against the code

Cause: docs/OPERATIONS.md lists every settings key by hand and could fall behind. Change: a test compares each row with the code's table (red with a row taken out, green as it stands). Include order as the formatter wants it.

--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -5,11 +5,11 @@
 #include "claims.h"
 #include "core.h"
 #include "dispatch.h"
-#include <fmt/format.h>
 #include "resume.h"
 #include "router.h"
 #include "xxhash.h"
 #include <algorithm>
+#include <fmt/format.h>
 #include <limits>
 
 namespace endivewharf {
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -8,11 +8,11 @@
 #include "claims.h"
 #include "core.h"
 #include "dispatch.h"
-#include <fmt/format.h>
 #include "release.h"
 #include "resume.h"
 #include "upstreams.h"
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace endivewharf {
 
--- a/src/resume.cpp
+++ b/src/resume.cpp
@@ -6,10 +6,10 @@
 #include "claims.h"
 #include "core.h"
 #include "dispatch.h"
-#include <fmt/format.h>
 #include "handover.h"
 #include "outcomes.h"
 #include <algorithm>
+#include <fmt/format.h>
 
 namespace endivewharf {
 
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -3,9 +3,10 @@
 #include "note.h"
 #include "settings.h"
 
-#include <filesystem>
+#include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
+#include <sstream>
 
 namespace endivewharf {
 
@@ -93,6 +94,17 @@
   }
 }
 
+TEST(SettingsTest, reference_inDocs_hasEveryKey) {
+  std::ifstream Stream(std::string(SOURCE_DIR) + "/docs/OPERATIONS.md");
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  for (const SettingsKey &Key : settingsReference()) {
+    const std::string Row =
+        "| " + Key.Section_ + " | " + Key.Key_ + " | " + Key.Meaning_ + " |";
+    EXPECT_NE(Text.str().find(Row), std::string::npos) << Row;
+  }
+}
+
 TEST(ConfigTest, text_mistakes_areTold) {
   const auto Got = parseConfiguration(
       "[account a]\nkey = k\nrate = -3\n[account b]\nkey = k\n"
