--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -80,8 +80,11 @@
 }
 
 void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
-  for (Upstream &U : S.Upstreams_)
+  std::vector<bool> WasListed;
+  for (Upstream &U : S.Upstreams_) {
+    WasListed.push_back(U.Listed_);
     U.Listed_ = false;
+  }
   for (const HostRow &Row : E.Hosts_) {
     const auto Found = S.UpstreamByLife_.find(Row.Host_);
     if (Found == S.UpstreamByLife_.end())
@@ -91,7 +94,9 @@
     if (Row.Leaving_)
       markLeaving(S, Row.Host_, "host_list", Out);
   }
-  S.PoolsChanged_ = true;
+  for (std::size_t I = 0; I < WasListed.size(); ++I)
+    S.PoolsChanged_ =
+        S.PoolsChanged_ || S.Upstreams_[I].Listed_ != WasListed[I];
   S.HostsReadAt_ = S.Now_;
 }
 
