Sharper tests where a second mechanism hid the first

scripts/mutants showed two mechanisms whose loss no test saw: an engine's own refusal (its reports told as well) and telling a fact at once (the next digest brought it). Change: the refusal test's engine hides it in its reports, and a fact has to be known 10 ms after it was found.

--- a/bench/engines.cpp
+++ b/bench/engines.cpp
@@ -54,7 +54,7 @@
   if (Engine.Dead_ || !linked(dataCentre(Index), Engine.Row_.DataCentre_))
     return Fail(AttemptFailure::NotSent, false);
   if (Engine.Leaving_)
-    return Fail(AttemptFailure::Refused, !Engine.SilentAbout_);
+    return Fail(AttemptFailure::Refused, true);
   if (Engine.Loaded_.count({E.Model_, E.Version_}) == 0 ||
       Engine.Queue_.size() >= static_cast<std::size_t>(Engine.Shape_.Queue_))
     return Fail(AttemptFailure::Refused, false);
--- a/bench/world.h
+++ b/bench/world.h
@@ -79,7 +79,7 @@
   std::set<LoadedVersion> Loaded_;
   bool Dead_ = false;
   bool Leaving_ = false;     ///< Refuses new work.
-  bool SilentAbout_ = false; ///< Does not tell that it is leaving.
+  bool SilentAbout_ = false; ///< Its reports don't tell; its refusals do.
   LogOffset LastEpoch_ = NoOffset;
   std::int64_t OrdersTaken_ = 0;
   int Running_ = 0;
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -184,6 +184,7 @@
 TEST_F(LeavingTest, engine_ownRefusalOnly_getsNoNewWork) {
   World &W = start();
   W.Engines_[0].Leaving_ = true;
+  W.Engines_[0].SilentAbout_ = true;
   EXPECT_LE(lastStartAfter(W, W.now(), 0), NoNewWorkLimit);
   for (int I = 0; I < W.entries(); ++I)
     EXPECT_TRUE(isLeaving(W.state(I), W.Engines_[0].Row_.Host_));
--- a/tests/membership_test.cpp
+++ b/tests/membership_test.cpp
@@ -1,6 +1,7 @@
 // Heartbeats, facts and silent links.
 #include "fixture.h"
 #include "membership.h"
+#include "upstreams.h"
 
 namespace endivewharf::fakes {
 
@@ -36,6 +37,16 @@
   EXPECT_EQ(Replaced.count("entry-2"), 0U);
 }
 
+TEST_F(MembershipTest, fact_withoutLoss_isToldAtOnce) {
+  World &W = start();
+  const Life Host = W.Engines_[0].Row_.Host_;
+  W.inject(0,
+           [&](State &S, Effects &Out) { markLeaving(S, Host, "test", Out); });
+  W.run(10); // far less than a digest's period
+  for (int I = 0; I < 4; ++I)
+    EXPECT_TRUE(isLeaving(W.state(I), Host)) << I;
+}
+
 TEST_F(MembershipTest, fact_heavyLoss_arrivesEverywhere) {
   WorldOptions Options;
   Options.Loss_ = 0.5;
