Two more tests for guards that no test saw

scripts/mutants: taking an older control state from a late peer, and serving on one peer's word before the log had its time, were not caught.

--- a/tests/control_test.cpp
+++ b/tests/control_test.cpp
@@ -118,6 +118,33 @@
   EXPECT_EQ(W.outcome(Which).Error_.Kind_, ErrorKind::NotReady);
 }
 
+TEST_F(ControlTest, control_olderThanOurs_isIgnored) {
+  State S = makeState({}, 1);
+  Effects Out;
+  MoveRow Row;
+  Row.Note_ = 3;
+  Row.Model_ = "m";
+  Row.Share_ = 0.5;
+  const std::string Config = exampleConfig({"m"});
+  adoptControl(S, {10, 2, Config, 3, {Row}}, "peer", Out);
+  Row.Share_ = 0.05;
+  adoptControl(S, {7, 2, Config, 3, {Row}}, "late peer", Out);
+  EXPECT_EQ(S.Control_.Version_, 10);
+  EXPECT_EQ(S.Release_.Moves_.at("m").Row_.Share_, 0.5);
+}
+
+TEST_F(ControlTest, process_startsAndHasOnlyOnePeersWord_waitsForTheLog) {
+  State S = makeState({}, 1);
+  reduce(S, {1000, 1, 1, Tick{}});
+  // The peer may be behind; the log, if it answers soon, knows more.
+  const ControlMessage Word{{5, 5, exampleConfig({"m"}), NoOffset, {}}};
+  reduce(S, {1100, 1, 1, PeerReceived{{{"entry-1", 1}, Word}}});
+  reduce(S, {1200, 1, 1, Tick{}});
+  EXPECT_EQ(S.Stage_, Stage::Starting);
+  reduce(S, {2700, 1, 1, Tick{}});
+  EXPECT_EQ(S.Stage_, Stage::Serving);
+}
+
 TEST_F(ControlTest, config_recordsExpired_isReadFromSnapshot) {
   World &W = start();
   const LogOffset Offset = publishNext(0);
