The verdict on a version that turns bad has a bound of its own

scripts/mutants: judging by one long window was not caught, since the step back to the old version answers the callers meanwhile.

--- a/tests/release_test.cpp
+++ b/tests/release_test.cpp
@@ -144,6 +144,8 @@
   W.setVersionFault("v2", Fault);
   move(60000, 100000);
   expectTakenBack();
+  // A long good time before must not hold the verdict up.
+  EXPECT_LE(FirstVerdict_ - Fault.From_, VerdictSpread);
   expectAllAnswered();
 }
 
