--- a/src/admission.h
+++ b/src/admission.h
@@ -17,20 +17,28 @@
 std::optional<CallError> checkAdmission(State &S, const Call &C,
                                         const Account &A);
 
+/// The same for a routed call: whether its service can answer it in time.
+std::optional<CallError> checkLane(State &S, const Call &C);
+
+/// Key of a call's queue: its account, apart for each lane.
+std::string queueName(const Call &C);
+
 /// Puts a call at the end (or, for a retry, at the front) of its queue.
 void enqueue(State &S, const Call &C, bool Front);
 
 /// Takes a call out of its queue, if it is there.
 void dequeue(State &S, const Call &C);
 
-/// Accounts in the order of their turn.
+/// Queues of a lane in the order of their turn.
 /// @param S state
+/// @param Lane whose queues
 /// @param Which priority
-/// @return names of accounts with waiting calls, least served first
-std::vector<std::string> accountsByTurn(const State &S, Priority Which);
+/// @return names of queues with waiting calls, least served first
+std::vector<std::string> queuesByTurn(const State &S, const std::string &Lane,
+                                      Priority Which);
 
 /// Which priority is served next while both wait.
-Priority nextPriority(const State &S);
+Priority nextPriority(const State &S, const std::string &Lane);
 
 /// Books a call that leaves the queue for an upstream.
 void noteServed(State &S, const Call &C);
@@ -42,17 +50,20 @@
 void noteAnswered(State &S, const Call &C);
 
 /// @return true if batch has waited for its floor's turn
-bool isBatchDue(const State &S);
+bool isBatchDue(const State &S, const std::string &Lane);
 
 /// Works out how often batch is due from the upstreams' capacity.
 void tickAdmission(State &S);
 
 /// Time until a refused caller should come back: the queue's expected drain
 /// time with jitter, so that refused callers don't return as one wave.
-Millis retryAfter(State &S, Priority Which);
+Millis retryAfter(State &S, const Call &C);
 
-/// Takes one retry from the budget.
+/// Takes one retry from the budget of a call's lane.
 /// @return false if the budget is spent
-bool takeRetry(State &S);
+bool takeRetry(State &S, const Call &C);
+
+/// Longest time that a routed call waits here before it is refused.
+Millis longestWait(const Call &C);
 
 } // namespace endivewharf
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -3,9 +3,11 @@
 
 #include "admission.h"
 #include "claims.h"
-#include "core.h"
 #include "dispatch.h"
+#include "quota.h"
+#include "record.h"
 #include "resume.h"
+#include "routed.h"
 #include "router.h"
 #include "xxhash.h"
 #include <algorithm>
@@ -18,6 +20,8 @@
 
 std::optional<CallError> checkTarget(const State &S, const Call &C) {
   const Configuration &Config = S.Config_.Value_;
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return std::nullopt; // taken under the configuration it came under
   if (C.Request_.Kind_ == CallKind::Service) {
     if (Config.Services_.count(C.Request_.Route_) == 0)
       return CallError{ErrorKind::UnknownRoute, RunState::NotRun,
@@ -35,6 +39,8 @@
   if (S.Stage_ == Stage::Starting)
     return CallError{ErrorKind::NotReady, RunState::NotRun,
                      "this process has not learnt its configuration yet", 500};
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return checkRouted(S, C);
   const auto &Accounts = S.Config_.Value_.AccountsByKey_;
   const auto Account = Accounts.find(C.Request_.ApiKey_);
   if (Account == Accounts.end())
@@ -49,6 +55,20 @@
   return checkAdmission(S, C, Account->second);
 }
 
+void logRefusal(const State &S, const Call &C, const CallError &Error,
+                Effects &Out) {
+  logWarning(Out, "refused",
+             {{"request", C.RequestId_},
+              {"route", C.Request_.Route_},
+              {"account", C.Account_},
+              {"error", std::string(name(Error.Kind_))},
+              {"run", std::string(name(Error.Run_))},
+              {"detail", Error.Detail_},
+              {"retry_after_ms", std::to_string(Error.RetryAfter_)},
+              {"age_ms", std::to_string(S.Now_ - C.ArrivedAt_)},
+              {"config", std::to_string(S.Config_.Version_)}});
+}
+
 std::string newRequestId(State &S) {
   return fmt::format("{}-{:x}-{:x}", S.Self_.Name_, S.Self_.Incarnation_,
                      S.NextRequest_++);
@@ -69,6 +89,8 @@
 }
 
 bool isUnrepeatableCall(const State &S, const Call &C) {
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return C.Repeat_ == Repeat::Never;
   if (C.Request_.Kind_ != CallKind::Service)
     return false;
   const auto Found = S.Config_.Value_.Services_.find(C.Request_.Route_);
@@ -94,6 +116,8 @@
 RunState runStateOf(const State &S, const Call &C) {
   if (C.Request_.Kind_ == CallKind::Completion && C.NextIndex_ > 0)
     return RunState::Run;
+  if (C.StreamStarted_ && C.Request_.Kind_ == CallKind::Routed)
+    return RunState::Run;
   if (C.Uncertain_ > 0)
     return RunState::Unknown;
   if (C.Request_.IdempotencyKey_.empty() || !isUnrepeatableCall(S, C))
@@ -112,13 +136,18 @@
       Error->Run_ = keyRunState(S, New);
     count(S, "refused");
     remember(S, New.RequestId_, fmt::format("refused: {}", Error->Detail_));
+    logRefusal(S, New, *Error, Out);
     Out.push_back(RefuseCall{E.Call_, New.RequestId_, *Error});
     return;
   }
-  ++S.Admission_.Accounts_[New.Account_].InFlight_;
-  S.CallByRequestId_[New.RequestId_] = E.Call_;
+  ++S.Admission_.Accounts_[queueName(New)].InFlight_;
+  // Routed calls are known by their connection only: a caller that asks again
+  // names its request anew.
+  if (New.Lane_.empty())
+    S.CallByRequestId_[New.RequestId_] = E.Call_;
   Call &C = S.Calls_.emplace(E.Call_, std::move(New)).first->second;
-  if (isUnrepeatableCall(S, C) && !C.Request_.IdempotencyKey_.empty()) {
+  if (C.Request_.Kind_ == CallKind::Service && isUnrepeatableCall(S, C) &&
+      !C.Request_.IdempotencyKey_.empty()) {
     C.Fingerprint_ = fingerprint(C.Request_);
     beginClaim(S, C, Out);
     return;
@@ -142,12 +171,13 @@
   count(S, "refused");
   remember(S, C.RequestId_,
            fmt::format("refused: {} {}", name(Error.Kind_), Error.Detail_));
-  logWarning(Out, "refused",
-             {{"request", C.RequestId_},
-              {"error", std::string(name(Error.Kind_))},
-              {"run", std::string(name(Error.Run_))},
-              {"detail", Error.Detail_}});
-  Out.push_back(RefuseCall{C.Id_, C.RequestId_, std::move(Error)});
+  logRefusal(S, C, Error, Out);
+  if (Error.Run_ == RunState::NotRun)
+    returnQuota(S, C);
+  if (C.StreamStarted_ && C.Request_.Kind_ == CallKind::Routed)
+    Out.push_back(CutCall{C.Id_});
+  else
+    Out.push_back(RefuseCall{C.Id_, C.RequestId_, std::move(Error)});
   forgetCall(S, C.Id_);
 }
 
@@ -198,10 +228,14 @@
   std::sort(Late.begin(), Late.end());
   for (const CallId Id : Late) {
     Call &C = S.Calls_.at(Id);
-    const CallError Error{ErrorKind::TimeLimit, runStateOf(S, C),
-                          "the request's time limit has passed",
-                          retryAfter(S, C.Request_.Priority_)};
-    if (C.Attempt_ != 0 && isUnrepeatableCall(S, C)) {
+    const RunState Run = runStateOf(S, C);
+    const bool Promise =
+        Run == RunState::NotRun && C.Request_.Kind_ == CallKind::Routed;
+    const CallError Error{
+        Promise ? ErrorKind::Overloaded : ErrorKind::TimeLimit, Run,
+        "the request's time limit has passed", retryAfter(S, C)};
+    if (C.Attempt_ != 0 && C.Request_.Kind_ == CallKind::Service &&
+        isUnrepeatableCall(S, C)) {
       // The reply is still wanted for the call's key: only the caller is told
       // that the time is up. The service limit ends the attempt.
       Out.push_back(RefuseCall{C.Id_, C.RequestId_, Error});
--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -4,8 +4,8 @@
 
 #include "calls.h"
 #include "controllog.h"
-#include "core.h"
 #include "dispatch.h"
+#include "record.h"
 
 #include <fmt/format.h>
 
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -2,8 +2,12 @@
 // that is silent for too long ends, whatever its connection says.
 #include "client.h"
 
+#include <algorithm>
 #include <chrono>
 #include <cstring>
+#include <ctime>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 
 namespace endivewharf {
 
@@ -14,18 +18,45 @@
 constexpr long MaxIdleConnections = 512;
 constexpr std::size_t MaxIdleHandles = 128;
 constexpr std::string_view NotRunHeader = "x-not-run:";
+constexpr int SilentPeerLimitMs = 3000; // TCP_USER_TIMEOUT
+constexpr std::size_t MaxHeaders = 200; // kept of one answer
+constexpr Millis MsPerSecond = 1000;
 
 bool startsWithNoCase(std::string_view Text, std::string_view Prefix) {
   return Text.size() >= Prefix.size() &&
          strncasecmp(Text.data(), Prefix.data(), Prefix.size()) == 0;
 }
 
+std::string_view trimmed(std::string_view Text) {
+  const auto First = Text.find_first_not_of(" \t\r\n");
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(" \t\r\n") - First + 1);
+}
+
 } // namespace
 
 Millis monotonicNow() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::steady_clock::now().time_since_epoch())
-      .count();
+  // Counts the time for which the host was suspended as well: leases and
+  // reports grow old meanwhile.
+  timespec Now{};
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return static_cast<Millis>(Now.tv_sec) * MsPerSecond + Now.tv_nsec / 1000000;
+}
+
+void fetchWhole(
+    HttpClient &Client, HttpRequest Request, std::size_t MaxBody,
+    std::function<void(const HttpResult &, const std::string &)> Done) {
+  auto Body = std::make_shared<std::string>();
+  Client.start(
+      std::move(Request),
+      [Body, MaxBody](int, std::string_view Bytes) {
+        Body->append(Bytes);
+        return Body->size() <= MaxBody;
+      },
+      [Body, Done = std::move(Done)](const HttpResult &Result) {
+        Done(Result, *Body);
+      });
 }
 
 /// One request under way.
@@ -36,6 +67,9 @@
   HttpRequest Request_;
   BodySink Body_;
   DoneSink Done_;
+  HeadSink Head_;
+  Headers Answer_;
+  int Sends_ = 0; ///< Connections on which the request was to be written.
   Millis StartedAt_ = 0;
   Millis LastByteAt_ = 0;
   bool GotByte_ = false;
@@ -81,13 +115,14 @@
 }
 
 std::uint64_t HttpClient::start(HttpRequest Request, BodySink Body,
-                                DoneSink Done) {
+                                DoneSink Done, HeadSink Head) {
   auto New = std::make_unique<Transfer>();
   Transfer &T = *New;
   T.Id_ = NextId_++;
   T.Request_ = std::move(Request);
   T.Body_ = std::move(Body);
   T.Done_ = std::move(Done);
+  T.Head_ = std::move(Head);
   T.StartedAt_ = T.LastByteAt_ = monotonicNow();
   if (Idle_.empty()) {
     T.Easy_ = curl_easy_init();
@@ -106,6 +141,18 @@
   curl_easy_setopt(E, CURLOPT_HEADERFUNCTION, &HttpClient::onHeader);
   curl_easy_setopt(E, CURLOPT_HEADERDATA, &T);
   curl_easy_setopt(E, CURLOPT_PROXY, "");
+  curl_easy_setopt(E, CURLOPT_PREREQFUNCTION, &HttpClient::onBeforeSend);
+  curl_easy_setopt(E, CURLOPT_PREREQDATA, &T);
+  curl_easy_setopt(E, CURLOPT_SOCKOPTFUNCTION, &HttpClient::onNewSocket);
+  curl_easy_setopt(E, CURLOPT_PATH_AS_IS, 1L);
+  if (!T.Request_.Target_.empty())
+    curl_easy_setopt(E, CURLOPT_REQUEST_TARGET, T.Request_.Target_.c_str());
+  if (T.Request_.Method_ == "HEAD")
+    curl_easy_setopt(E, CURLOPT_NOBODY, 1L);
+  if (T.Request_.MaxIdle_ > 0)
+    curl_easy_setopt(
+        E, CURLOPT_MAXAGE_CONN,
+        std::max(1L, static_cast<long>(T.Request_.MaxIdle_ / MsPerSecond)));
   if (T.Request_.Fresh_) {
     curl_easy_setopt(E, CURLOPT_FRESH_CONNECT, 1L);
     curl_easy_setopt(E, CURLOPT_FORBID_REUSE, 1L);
@@ -209,9 +256,40 @@
 std::size_t HttpClient::onHeader(char *Data, std::size_t Size,
                                  std::size_t Count, void *User) {
   auto &T = *static_cast<Transfer *>(User);
-  if (startsWithNoCase({Data, Size * Count}, NotRunHeader))
+  const std::string_view Line(Data, Size * Count);
+  if (startsWithNoCase(Line, NotRunHeader))
     T.NotRun_ = true;
-  return Size * Count;
+  if (startsWithNoCase(Line, "HTTP/")) {
+    T.Answer_.clear(); // of an interim answer
+    return Line.size();
+  }
+  const auto Colon = Line.find(':');
+  if (Colon != std::string_view::npos && T.Answer_.size() < MaxHeaders)
+    T.Answer_.push_back({std::string(Line.substr(0, Colon)),
+                         std::string(trimmed(Line.substr(Colon + 1)))});
+  if (!trimmed(Line).empty() || !T.Head_ || !T.Done_)
+    return Line.size();
+  long Status = 0;
+  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
+  if (Status < 200)
+    return Line.size();
+  const HeadSink Head = std::move(T.Head_);
+  T.Head_ = nullptr; // trailers come here as well
+  Head(static_cast<int>(Status), T.Answer_);
+  return Line.size();
+}
+
+int HttpClient::onBeforeSend(void *User, char *, char *, int, int) {
+  auto &T = *static_cast<Transfer *>(User);
+  return ++T.Sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+}
+
+int HttpClient::onNewSocket(void *, curl_socket_t Socket, curlsocktype) {
+  const int Limit = SilentPeerLimitMs;
+  setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit, sizeof(Limit));
+  const int On = 1;
+  setsockopt(Socket, IPPROTO_TCP, TCP_NODELAY, &On, sizeof(On));
+  return CURL_SOCKOPT_OK;
 }
 
 std::size_t HttpClient::onBody(char *Data, std::size_t Size, std::size_t Count,
@@ -240,14 +318,12 @@
     if (Found == ByHandle_.end())
       continue;
     Transfer &T = *Found->second;
-    long Sent = 0;
-    curl_easy_getinfo(T.Easy_, CURLINFO_REQUEST_SIZE, &Sent);
     TransferEnd End = TransferEnd::Broken;
     if (Code == CURLE_OK)
       End = TransferEnd::Complete;
     else if (T.Stopped_)
       End = TransferEnd::Stopped;
-    else if (Sent == 0)
+    else if (T.Sends_ == 0)
       End = TransferEnd::NotSent;
     finish(T, End, Code == CURLE_OK ? "" : curl_easy_strerror(Code));
   }
@@ -258,6 +334,7 @@
   Result.End_ = End;
   Result.Detail_ = std::move(Detail);
   Result.NotRun_ = T.NotRun_;
+  Result.Headers_ = std::move(T.Answer_);
   long Status = 0;
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
   Result.Status_ = static_cast<int>(Status);
@@ -296,9 +373,7 @@
     if (Found == Transfers_.end())
       continue;
     Transfer &T = *Found->second;
-    long Sent = 0;
-    curl_easy_getinfo(T.Easy_, CURLINFO_REQUEST_SIZE, &Sent);
-    finish(T, Sent == 0 ? TransferEnd::NotSent : TransferEnd::Silent,
+    finish(T, T.Sends_ == 0 ? TransferEnd::NotSent : TransferEnd::Silent,
            "a time limit passed");
   }
 }
--- a/src/client.h
+++ b/src/client.h
@@ -20,11 +20,14 @@
 struct HttpRequest {
   std::string Method_ = "GET";
   std::string Url_;
+  /// Path and query as they are to be sent; empty: those of the URL.
+  std::string Target_;
   std::vector<std::string> Headers_; ///< `Name: value`.
   std::string Body_;
   Millis FirstByteLimit_ = 0; ///< From the start to the first body byte.
   Millis ProgressLimit_ = 0;  ///< Between two body bytes.
   Millis TotalLimit_ = 0;
+  Millis MaxIdle_ = 0; ///< Of a connection to reuse; 0: the library's choice.
   bool Fresh_ = false; ///< Neither reuse a connection nor keep this one.
 };
 
@@ -43,8 +46,11 @@
   std::string ContentType_;
   std::string Detail_;
   bool NotRun_ = false; ///< The answer says that the call was not run.
+  Headers Headers_;
 };
 
+/// Gets the head of an answer before its body.
+using HeadSink = std::function<void(int Status, const Headers &Head)>;
 /// Gets body bytes; returns false to stop the transfer.
 using BodySink = std::function<bool(int Status, std::string_view Bytes)>;
 using DoneSink = std::function<void(const HttpResult &)>;
@@ -58,7 +64,10 @@
 
   /// Starts a transfer; `Done` is called exactly once, later.
   /// @return number for `cancel`
-  std::uint64_t start(HttpRequest Request, BodySink Body, DoneSink Done);
+  /// A request is written once at the most: the library's own repetition on a
+  /// connection that had died is a failure here.
+  std::uint64_t start(HttpRequest Request, BodySink Body, DoneSink Done,
+                      HeadSink Head = nullptr);
 
   /// Stops a transfer without calling its `Done`; unknown numbers are fine.
   void cancel(std::uint64_t Id);
@@ -76,6 +85,8 @@
                             void *User);
   static std::size_t onHeader(char *Data, std::size_t Size, std::size_t Count,
                               void *User);
+  static int onBeforeSend(void *User, char *, char *, int, int);
+  static int onNewSocket(void *User, curl_socket_t Socket, curlsocktype Type);
 
   void watch(curl_socket_t Socket, int What);
   void wait(const std::shared_ptr<SocketWatch> &Watch, bool Write);
@@ -96,6 +107,13 @@
   std::uint64_t NextId_ = 1;
 };
 
+/// Starts a transfer and collects its whole body.
+/// @param MaxBody bytes; a longer body stops the transfer
+/// @param Done gets the result and the body
+void fetchWhole(
+    HttpClient &Client, HttpRequest Request, std::size_t MaxBody,
+    std::function<void(const HttpResult &, const std::string &)> Done);
+
 /// Milliseconds on the monotonic clock.
 Millis monotonicNow();
 
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -55,6 +55,7 @@
   F("heartbeat", R.Heartbeat_);
   F("config_version", R.ConfigVersion_);
   F("draining", R.Draining_);
+  F("address", R.Address_);
 }
 template <Is<Beat> T, typename V> void fields(T &R, V &&F) {
   F("life", R.LifeHash_);
@@ -86,6 +87,26 @@
   F("sequence", R.Sequence_);
   F("acknowledged", R.Acknowledged_);
 }
+template <Is<LoadRow> T, typename V> void fields(T &R, V &&F) {
+  F("upstream", R.Upstream_);
+  F("in_flight", R.InFlight_);
+  F("prefill_ms", R.PrefillMs_);
+}
+template <Is<DemandRow> T, typename V> void fields(T &R, V &&F) {
+  F("account", R.Account_);
+  F("per_second", R.PerSecond_);
+}
+template <Is<UsageRow> T, typename V> void fields(T &R, V &&F) {
+  F("window", R.Window_);
+  F("account", R.Account_);
+  F("count", R.Count_);
+}
+template <Is<SumsMessage> T, typename V> void fields(T &R, V &&F) {
+  F("loads", R.Loads_);
+  F("demands", R.Demands_);
+  F("usage", R.Usage_);
+  F("unix_ms", R.UnixMs_);
+}
 template <Is<FactsMessage> T, typename V> void fields(T &R, V &&F) {
   F("leaving", R.Leaving_);
   F("bad", R.Bad_);
@@ -186,6 +207,15 @@
   F("control", R.Control_);
 }
 
+template <Is<JoinRecord> T, typename V> void fields(T &R, V &&F) {
+  F("row", R.Row_);
+}
+template <Is<UsageRecord> T, typename V> void fields(T &R, V &&F) {
+  F("epoch", R.Epoch_);
+  F("window", R.Window_);
+  F("rows", R.Rows_);
+}
+
 template <typename T>
 concept HasFields = requires(T &R) {
   fields(R, [](auto &&...) {});
@@ -290,11 +320,13 @@
 // --- Types by number and name ---
 
 constexpr std::array MessageNames = {
-    "digest",   "facts",        "control",   "control_request",
-    "handover", "handover_ack", "find_call", "found_call"};
+    "digest",          "facts",      "control",
+    "control_request", "handover",   "handover_ack",
+    "find_call",       "found_call", "sums"};
 constexpr std::array RecordNames = {
-    "config",  "note",  "lease_acquire", "lease_renew", "share",
-    "verdict", "claim", "claim_release", "claim_done",  "snapshot"};
+    "config",     "note",     "lease_acquire", "lease_renew",
+    "share",      "verdict",  "claim",         "claim_release",
+    "claim_done", "snapshot", "join",          "usage"};
 static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>);
 static_assert(RecordNames.size() == std::variant_size_v<LogRecord>);
 
--- a/src/commands.cpp
+++ b/src/commands.cpp
@@ -137,7 +137,7 @@
     printMistakes(Read.error());
     return ExitUsage;
   }
-  return serve(*Read);
+  return serve(*Read, Path);
 }
 
 int configCheck(const std::string &File) {
--- a/src/config.h
+++ b/src/config.h
@@ -1,6 +1,6 @@
-// Configuration that operators publish to the log: client accounts, models and
-// plain services. Pure parsing and checking; the order of versions is decided
-// in controlplane.h.
+// Configuration that operators publish: client accounts, models, services and
+// routes. Pure parsing and checking; the order of versions is decided in
+// controllog.h.
 #pragma once
 
 #include "types.h"
@@ -14,13 +14,20 @@
 
 namespace endivewharf {
 
+/// What an account's rate counts.
+enum class RateUnit { Requests, Tokens };
+
 /// One client account and its limits.
 struct Account {
   std::string Name_;
   std::string Key_;
   double Weight_ = 1;         ///< Share of the capacity against other accounts.
-  double RatePerSecond_ = 50; ///< Long-term limit in requests per second.
+  double RatePerSecond_ = 50; ///< Long-term limit in units per second; 0: none.
   int MaxInFlight_ = 200;     ///< Requests accepted and not yet answered.
+  double Burst_ = 0;          ///< Units that may come at once beyond the rate.
+  RateUnit Unit_ = RateUnit::Requests;
+  double PlainUnits_ = 1; ///< Of a request that states no size.
+  int Rank_ = 0;          ///< Accounts of a lower rank go first.
 };
 
 /// One model and the version that serves it.
@@ -35,19 +42,71 @@
   std::string PathPrefix_;
 };
 
-/// One plain service.
+/// Limits within which hosts of a service may be ordered, for each zone.
+struct ScalingLimits {
+  int MinHosts_ = 0;
+  int MaxHosts_ = 0; ///< 0: no hosts may be ordered.
+  Millis StartTime_ = 0;
+  double SpotPrice_ = 0; ///< Part of the full price; 0: no such hosts.
+  std::map<std::string, double> ZonePrices_;
+};
+
+/// One service: plain, or of model engines.
 struct ServiceEntry {
   std::string Name_;
   std::vector<UnrepeatableRoute> Unrepeatable_;
+  std::string HealthPath_;
+  int MaxConnections_ = 0;       ///< At one host, of all callers; 0: no limit.
+  int Slots_ = 0;                ///< Requests that an engine batches; 0: plain.
+  std::int64_t CacheTokens_ = 0; ///< Memory of an engine.
+  std::int64_t TokenBytes_ = 0;  ///< Of an engine's memory for one token.
+  int MaxCacheWatchers_ = 0;     ///< Waiting readers of cache events.
+  ScalingLimits Scaling_;
+  int FirstRank_ = 0; ///< Lowest rank of the routes that lead here.
+};
+
+/// What a route's requests are.
+enum class RouteKind { Repeatable, Unrepeatable, Stream };
+
+/// A service and its part of a route's requests.
+struct ServiceShare {
+  std::string Service_;
+  double Weight_ = 1;
+};
+
+/// Requests of one host name and path prefix.
+struct RouteEntry {
+  std::string Name_;
+  std::string Host_;
+  std::string PathPrefix_; ///< Begins and ends with a slash.
+  RouteKind Kind_ = RouteKind::Unrepeatable;
+  bool Resumable_ = false;  ///< A stream may go on after its last event.
+  bool Public_ = false;     ///< Needs no key.
+  Millis TimeLimit_ = 0;    ///< Longest wait for the whole answer; 0: none.
+  Millis Objective_ = 0;    ///< For the answer or a stream's first event.
+  Millis GapObjective_ = 0; ///< Between two events of a stream.
+  int Rank_ = 0;            ///< Routes of a lower rank go first.
+  int MaxUpstreams_ = 1;    ///< Upstreams that one request may be sent to.
+  std::vector<ServiceShare> Services_;
 };
 
 /// Everything that one configuration version says.
 struct Configuration {
   std::map<std::string, Account> AccountsByKey_;
+  std::map<std::string, Account> AccountsByName_;
   std::map<std::string, ModelEntry> Models_;
   std::map<std::string, ServiceEntry> Services_;
+  /// By host name in lower case, the longest prefix first.
+  std::map<std::string, std::vector<RouteEntry>> Routes_;
 };
 
+/// Finds the route of a request.
+/// @param Host host name as the caller sent it; a port is ignored
+/// @param Path path without query
+/// @return the route with the longest prefix that begins the path, or null
+const RouteEntry *findRoute(const Configuration &Config, std::string_view Host,
+                            std::string_view Path);
+
 /// One mistake in a settings or configuration file.
 struct FileMistake {
   std::string File_;
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -4,9 +4,12 @@
 #include "controllog.h"
 
 #include "claims.h"
-#include "core.h"
 #include "lease.h"
+#include "membership.h"
+#include "record.h"
 #include "release.h"
+#include "rollout.h"
+#include "usage.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -74,7 +77,8 @@
   void operator()(const ShareRecord &R) const {
     if (known())
       return;
-    if (R.Epoch_ == S_.Lease_.Epoch_)
+    // On the platform a share may be read again long after its lease.
+    if (R.Epoch_ == S_.Lease_.Epoch_ || S_.Settings_.onPlatform())
       applyShare(S_, R, Out_);
     else
       count(S_, "fenced_records");
@@ -112,6 +116,8 @@
     onClaimRelease(S_, R, Out_);
   }
   void operator()(const ClaimDoneRecord &R) const { onClaimDone(S_, R, Out_); }
+  void operator()(const JoinRecord &R) const { onJoin(S_, R, Out_); }
+  void operator()(const UsageRecord &R) const { applyUsage(S_, R, Out_); }
 
 private:
   void reject(std::string Why) const {
@@ -147,12 +153,14 @@
   return std::holds_alternative<ClaimRecord>(Record) ||
          std::holds_alternative<ClaimReleaseRecord>(Record) ||
          std::holds_alternative<ClaimDoneRecord>(Record) ||
-         std::holds_alternative<VerdictRecord>(Record);
+         std::holds_alternative<VerdictRecord>(Record) ||
+         std::holds_alternative<JoinRecord>(Record) ||
+         std::holds_alternative<UsageRecord>(Record);
 }
 
 void noteRetention(State &S, LogOffset Earliest) {
-  if (Earliest <= S.Log_.Next_)
-    return;
+  if (Earliest <= S.Log_.Next_ || S.Settings_.onPlatform())
+    return; // the platform keeps the newest record of each key
   const bool First = S.Log_.ReadThrough_ == NoOffset;
   if (!First)
     forgetClaims(S);
@@ -236,6 +244,8 @@
     for (const auto &[Offset, Record] : Remaining)
       std::visit(RecordVisitor{S, Offset, Out}, Record);
   }
+  if (S.Settings_.onPlatform())
+    return;
   const bool Due = S.Control_.SnapshotAt_ < 0 ||
                    S.Now_ - S.Control_.SnapshotAt_ > SnapshotPeriod;
   if (Due && holdsLease(S) && !S.Control_.Baseless_ &&
@@ -257,8 +267,34 @@
   return Control;
 }
 
+void adoptConfiguration(State &S, LogOffset Version, const std::string &Text,
+                        std::string_view Source, Effects &Out) {
+  if (Version <= S.Config_.Version_)
+    return;
+  auto Parsed = parseConfiguration(Text, "configuration");
+  if (!Parsed) {
+    logWarning(Out, "config_rejected",
+               {{"offset", std::to_string(Version)},
+                {"source", std::string(Source)},
+                {"reason", describe(Parsed.error().front())}});
+    keepRejection(S.Config_.Rejected_, Version,
+                  describe(Parsed.error().front()));
+    return;
+  }
+  logEvent(
+      Out, "config_adopted",
+      {{"version", std::to_string(Version)}, {"source", std::string(Source)}});
+  takeConfiguration(S, Version, Text, std::move(*Parsed), Out);
+}
+
 void adoptControl(State &S, const ControlSnapshot &Control,
                   std::string_view Source, Effects &Out) {
+  if (S.Settings_.onPlatform()) {
+    adoptConfiguration(S, Control.ConfigVersion_, Control.ConfigText_, Source,
+                       Out);
+    adoptRollouts(S, Control.Moves_, Out);
+    return;
+  }
   if (Control.Version_ <= S.Control_.Version_)
     return;
   auto Parsed = parseConfiguration(Control.ConfigText_, "configuration");
--- a/src/controllog.h
+++ b/src/controllog.h
@@ -23,6 +23,11 @@
 /// This process's control state, for a peer or a snapshot.
 ControlSnapshot controlSnapshot(const State &S);
 
+/// Takes a configuration over if it is newer than the one in force.
+/// @param Source where it came from, for the log
+void adoptConfiguration(State &S, LogOffset Version, const std::string &Text,
+                        std::string_view Source, Effects &Out);
+
 /// Takes over a control state if it is newer than ours.
 void adoptControl(State &S, const ControlSnapshot &Control,
                   std::string_view Source, Effects &Out);
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -6,13 +6,21 @@
 #include "claims.h"
 #include "controllog.h"
 #include "dispatch.h"
+#include "fleet.h"
 #include "handover.h"
 #include "lease.h"
 #include "membership.h"
+#include "operatorlog.h"
 #include "outcomes.h"
+#include "quota.h"
+#include "record.h"
 #include "release.h"
 #include "resume.h"
+#include "rollout.h"
+#include "routed.h"
+#include "sums.h"
 #include "upstreams.h"
+#include "usage.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -21,15 +29,16 @@
 
 namespace {
 
-constexpr std::size_t MaxDecisions = 512; // kept for `dump`
-constexpr Millis PeerPatience = 1500;     // ms to wait for the log at start
+constexpr Millis PeerPatience = 1500; // ms to wait for the log at start
 
 /// A process serves once it knows the newest configuration that the log or,
 /// with the log away, its peers know.
 void tickStart(State &S, Effects &Out) {
   if (S.Stage_ != Stage::Starting || S.Config_.Version_ == NoOffset)
     return;
-  const bool FromLog = S.Log_.SawTail_ && !S.Control_.Baseless_;
+  const bool FromLog = S.Settings_.onPlatform()
+                           ? S.Operator_.SawTail_
+                           : S.Log_.SawTail_ && !S.Control_.Baseless_;
   const bool FromPeers = S.Now_ - S.StartedAt_ > PeerPatience;
   if (!FromLog && !FromPeers)
     return;
@@ -47,6 +56,14 @@
   tickLease(S, Out);
   tickClaims(S);
   tickRelease(S, Out);
+  if (S.Settings_.onPlatform()) {
+    tickRollouts(S, Out);
+    tickSums(S, Out);
+    tickQuotas(S);
+    tickUsage(S, Out);
+    tickFleet(S, Out);
+    tickRouted(S, Out);
+  }
   tickCalls(S, Out);
   tickStop(S, Out);
   tickStart(S, Out);
@@ -64,6 +81,18 @@
     onResumeArrived(S_, E, Out_);
   }
   void operator()(const CallerGone &E) const { onCallerGone(S_, E, Out_); }
+  void operator()(const AttemptHead &E) const { onAttemptHead(S_, E); }
+  void operator()(const OperatorRead &E) const { onOperatorRead(S_, E, Out_); }
+  void operator()(const OperatorReadFailed &) const {
+    onOperatorReadFailed(S_, Out_);
+  }
+  void operator()(const MoveStateWritten &E) const {
+    onMoveStateWritten(S_, E, Out_);
+  }
+  void operator()(const HostsOrdered &E) const { onHostsOrdered(S_, E, Out_); }
+  void operator()(const UsageReported &E) const {
+    onUsageReported(S_, E, Out_);
+  }
   void operator()(const AttemptToken &E) const { onAttemptToken(S_, E, Out_); }
   void operator()(const AttemptEnded &E) const { onAttemptEnded(S_, E, Out_); }
   void operator()(const AttemptFailed &E) const {
@@ -78,11 +107,22 @@
     onHostsRead(S_, E, Out_);
     dispatchWaiting(S_, Out_);
   }
-  void operator()(const NoticesRead &E) const { onNoticesRead(S_, E, Out_); }
+  void operator()(const NoticesRead &E) const {
+    onNoticesRead(S_, E, Out_);
+    for (const ReclaimNotice &Notice : E.Notices_)
+      if (Notice.Host_.Name_ == S_.Self_.Name_)
+        beginStop(S_, Notice.TimeLeft_, "reclaim", Out_);
+  }
   void operator()(const ProbeEnded &E) const {
     onProbeEnded(S_, E, Out_);
     dispatchWaiting(S_, Out_);
   }
+  void operator()(const SettingsChanged &E) const {
+    S_.Settings_.Limits_ = E.Settings_.Limits_;
+    S_.Settings_.Bounds_ = E.Settings_.Bounds_;
+    S_.Settings_.Seeds_ = E.Settings_.Seeds_;
+    logEvent(Out_, "settings_changed", {});
+  }
   void operator()(const Tick &) const { onTick(S_, Out_); }
   void operator()(const StopRequested &E) const {
     beginStop(S_, E.TimeLeft_, "signal", Out_);
@@ -100,6 +140,7 @@
     S.StartedAt_ = E.Now_;
   std::visit(EventVisitor{S, Out}, E.Body_);
   driveLog(S, Out);
+  driveOperator(S, Out);
   S.Ready_ = S.Stage_ == Stage::Serving;
   return Out;
 }
@@ -119,46 +160,4 @@
   return S;
 }
 
-void beginStop(State &S, Millis TimeLeft, std::string_view Reason,
-               Effects &Out) {
-  const Millis Limit =
-      TimeLeft > 0 ? TimeLeft : S.Settings_.Limits_.DrainLimit_;
-  const Millis Deadline = S.Now_ + Limit;
-  if (S.Stage_ == Stage::Draining) {
-    S.StopDeadline_ = std::min(S.StopDeadline_, Deadline);
-    return;
-  }
-  S.Stage_ = Stage::Draining;
-  S.StopStartedAt_ = S.Now_;
-  S.StopDeadline_ = Deadline;
-  logEvent(Out, "stopping",
-           {{"reason", std::string(Reason)},
-            {"time_left_ms", std::to_string(Limit)}});
-  copyCallsToPeers(S, Out);
-}
-
-void logEvent(Effects &Out, std::string Event, LogFields Fields) {
-  Out.push_back(WriteLog{std::move(Event), std::move(Fields), false});
-}
-
-void logWarning(Effects &Out, std::string Event, LogFields Fields) {
-  Out.push_back(WriteLog{std::move(Event), std::move(Fields), true});
-}
-
-void remember(State &S, std::string Subject, std::string Text) {
-  S.Decisions_.push_back({S.Now_, std::move(Subject), std::move(Text)});
-  if (S.Decisions_.size() > MaxDecisions)
-    S.Decisions_.pop_front();
-}
-
-std::uint64_t nextRandom(State &S) {
-  // xorshift64 (G. Marsaglia, Xorshift RNGs, 2003).
-  S.Random_ ^= S.Random_ << 13;
-  S.Random_ ^= S.Random_ >> 7;
-  S.Random_ ^= S.Random_ << 17;
-  if (S.Random_ == 0)
-    S.Random_ = 1;
-  return S.Random_;
-}
-
 } // namespace endivewharf
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -11,8 +11,13 @@
 
 namespace {
 
-constexpr int MaxQueueScan = 4;         // calls looked at per account
-constexpr int MaxDispatchPerEvent = 64; // calls
+constexpr int MaxQueueScan = 4;            // calls looked at per queue
+constexpr int MaxDispatchPerEvent = 64;    // calls
+constexpr int MaxUrgency = 9;              // the last one that upstreams know
+constexpr Millis MaxIdleRepeatable = 4000; // ms
+constexpr Millis MaxIdleOnce = 1000;       // ms
+constexpr Millis MinFirstByteLimit = 400;  // ms
+constexpr Millis ObjectivesToFirstByte = 2;
 
 /// Version for the next attempt: the old one, or the new one when it is due.
 struct VersionChoice {
@@ -21,7 +26,21 @@
   LogOffset Note_ = NoOffset;
 };
 
+/// Routed calls go to hosts of the old or the new version of their service;
+/// while no move concerns it, to any.
+VersionChoice chooseHosts(const State &S, const Call &C) {
+  const auto Found = S.Release_.Moves_.find(C.Lane_);
+  if (Found == S.Release_.Moves_.end())
+    return {};
+  const Move &M = Found->second;
+  if (!C.AvoidNewVersion_ && isNewVersionDue(S, M))
+    return {std::string(NewHosts), true, M.Row_.Note_};
+  return {std::string(OldHosts), false, M.Row_.Note_};
+}
+
 VersionChoice chooseVersion(State &S, const Call &C) {
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return chooseHosts(S, C);
   if (C.Request_.Kind_ == CallKind::Service)
     return {};
   const std::string &Model = C.Request_.Model_;
@@ -39,6 +58,36 @@
   return {M.Row_.From_, false, M.Row_.Note_};
 }
 
+/// The other choice, if hosts of the first one have no room.
+VersionChoice otherChoice(const State &S, const Call &C,
+                          const VersionChoice &First) {
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return {std::string(OldHosts), false, First.Note_};
+  return {S.Release_.Moves_.at(moveKey(C)).Row_.From_, false, First.Note_};
+}
+
+/// What only routed calls need.
+void fillRouted(const State &S, const Call &C, const Upstream &U,
+                StartAttempt &Start) {
+  Start.Host_ = U.Row_.Host_.Name_;
+  Start.Headers_ = C.Request_.Headers_;
+  Start.Account_ = C.Account_;
+  Start.TimeLeft_ = std::max<Millis>(1, C.Deadline_ - S.Now_);
+  Start.Stream_ = C.Events_;
+  Start.ResumeAfter_ =
+      C.IndexKnown_ ? C.NextIndex_ - 1 : C.Request_.ResumeAfter_;
+  Start.Urgency_ = std::min(MaxUrgency, C.Rank_);
+  Start.FirstByteLimit_ = Start.TimeLeft_;
+  // A reused connection may have died unseen: what runs once at the most goes
+  // only where one was used a moment ago.
+  Start.MaxIdle_ = C.Repeat_ == Repeat::Free ? MaxIdleRepeatable : MaxIdleOnce;
+  if (C.Repeat_ != Repeat::Never && C.MaxUpstreams_ > C.Uncertain_ + 1)
+    Start.FirstByteLimit_ = std::min(
+        Start.TimeLeft_,
+        std::max(MinFirstByteLimit, C.Objective_ * ObjectivesToFirstByte));
+  Start.ProgressLimit_ = S.Settings_.Limits_.ProgressLimit_;
+}
+
 void startAttempt(State &S, Call &C, int Index, const VersionChoice &Choice,
                   Effects &Out) {
   Upstream &U = S.Upstreams_[Index];
@@ -54,6 +103,8 @@
   New.Note_ = Choice.Note_;
   New.StartedAt_ = S.Now_;
   New.LastProgressAt_ = S.Now_;
+  New.PrefillMs_ = expectedPrefill(S, C, Index);
+  U.PrefillMs_ += New.PrefillMs_;
   const AttemptId Id = S.NextAttempt_++;
   S.Attempts_[Id] = New;
   C.Attempt_ = Id;
@@ -88,8 +139,11 @@
   Start.ProgressLimit_ = Limits.ProgressLimit_;
   // A reused connection may turn out to be dead only after the request was
   // written; a call that may not be repeated never risks that.
-  Start.FreshConnection_ = C.FreshConnection_ || isUnrepeatableCall(S, C);
+  Start.FreshConnection_ =
+      C.FreshConnection_ || (Service && isUnrepeatableCall(S, C));
   C.FreshConnection_ = false;
+  if (C.Request_.Kind_ == CallKind::Routed)
+    fillRouted(S, C, U, Start);
   Out.push_back(std::move(Start));
 }
 
@@ -98,8 +152,7 @@
   VersionChoice Choice = chooseVersion(S, C);
   int Index = pickUpstream(S, C, Choice.Version_);
   if (Index < 0 && Choice.New_) {
-    Choice = {S.Release_.Moves_.at(C.Request_.Model_).Row_.From_, false,
-              Choice.Note_};
+    Choice = otherChoice(S, C, Choice);
     Index = pickUpstream(S, C, Choice.Version_);
   }
   if (Index < 0 && !C.TriedUpstreams_.empty()) {
@@ -109,17 +162,18 @@
   }
   if (Index < 0)
     return false;
-  if (C.Request_.Kind_ == CallKind::Completion)
-    noteVersionChosen(S, C.Request_.Model_, Choice.New_);
+  if (C.Request_.Kind_ != CallKind::Service)
+    noteVersionChosen(S, moveKey(C), Choice.New_);
   dequeue(S, C);
   noteServed(S, C);
   startAttempt(S, C, Index, Choice, Out);
   return true;
 }
 
-bool placeOneOf(State &S, Priority Which, Effects &Out) {
+bool placeOneOf(State &S, const std::string &Lane, Priority Which,
+                Effects &Out) {
   const std::size_t Queue = static_cast<std::size_t>(Which);
-  for (const std::string &Name : accountsByTurn(S, Which)) {
+  for (const std::string &Name : queuesByTurn(S, Lane, Which)) {
     const auto &Waiting = S.Admission_.Accounts_[Name].Queues_[Queue];
     const std::size_t Scan =
         std::min<std::size_t>(Waiting.size(), MaxQueueScan);
@@ -147,6 +201,8 @@
   Upstream &U = S.Upstreams_[Taken.Attempt_.Upstream_];
   U.InFlight_ = std::max(0, U.InFlight_ - 1);
   U.BatchInFlight_ -= Taken.Attempt_.Batch_ ? 1 : 0;
+  if (Taken.Attempt_.FirstTokenAt_ == 0)
+    U.PrefillMs_ = std::max(0.0, U.PrefillMs_ - Taken.Attempt_.PrefillMs_);
   if (Taken.Call_ != nullptr)
     Taken.Call_->Attempt_ = 0;
   return Taken;
@@ -159,16 +215,29 @@
   takeAttempt(S, C.Attempt_);
 }
 
-void dispatchWaiting(State &S, Effects &Out) {
+namespace {
+
+void dispatchLane(State &S, const std::string &Lane, Effects &Out) {
   for (int I = 0; I < MaxDispatchPerEvent; ++I) {
-    const Priority First = nextPriority(S);
+    const Priority First = nextPriority(S, Lane);
     const Priority Second =
         First == Priority::Batch ? Priority::Interactive : Priority::Batch;
-    if (!placeOneOf(S, First, Out) && !placeOneOf(S, Second, Out))
+    if (!placeOneOf(S, Lane, First, Out) && !placeOneOf(S, Lane, Second, Out))
       return;
   }
 }
 
+} // namespace
+
+void dispatchWaiting(State &S, Effects &Out) {
+  std::vector<std::string> Busy;
+  for (const auto &[Name, Lane] : S.Admission_.Lanes_)
+    if (Lane.Waiting_[0] + Lane.Waiting_[1] > 0)
+      Busy.push_back(Name);
+  for (const std::string &Name : Busy)
+    dispatchLane(S, Name, Out);
+}
+
 void releaseToQueue(State &S, Call &C, Effects &Out) {
   C.Phase_ = CallPhase::Queued;
   enqueue(S, C, false);
--- a/src/dump.cpp
+++ b/src/dump.cpp
@@ -96,6 +96,18 @@
   return Rows;
 }
 
+Json lanes(const State &S) {
+  Json Rows = Json::array();
+  for (const auto &[Name, Lane] : S.Admission_.Lanes_)
+    Rows.push_back({{"service", Name},
+                    {"waiting_interactive", Lane.Waiting_[0]},
+                    {"waiting_batch", Lane.Waiting_[1]},
+                    {"drain_per_second_interactive", Lane.DrainPerSecond_[0]},
+                    {"drain_per_second_batch", Lane.DrainPerSecond_[1]},
+                    {"retry_budget", Lane.RetryBudget_}});
+  return Rows;
+}
+
 Json decisions(const State &S) {
   Json Rows = Json::array();
   for (const Decision &D : S.Decisions_)
@@ -129,12 +141,7 @@
                       {"evidence_rows", S.Release_.Evidence_.size()},
                       {"rejected", offsets(S.Release_.RejectedNotes_)}};
   Whole["claims"] = {{"keys", S.Claims_.Keys_.size()}};
-  Whole["admission"] = {
-      {"waiting_interactive", S.Admission_.Waiting_[0]},
-      {"waiting_batch", S.Admission_.Waiting_[1]},
-      {"drain_per_second_interactive", S.Admission_.DrainPerSecond_[0]},
-      {"drain_per_second_batch", S.Admission_.DrainPerSecond_[1]},
-      {"retry_budget", S.Admission_.RetryBudget_}};
+  Whole["admission"] = lanes(S);
   Whole["upstreams"] = upstreams(S);
   Whole["calls"] = calls(S);
   Whole["held_records"] = S.Held_.ById_.size();
--- a/src/effect.h
+++ b/src/effect.h
@@ -3,6 +3,7 @@
 
 #include "event.h"
 
+#include <map>
 #include <string>
 #include <utility>
 #include <variant>
@@ -30,6 +31,16 @@
   Millis FirstByteLimit_ = 0;
   Millis ProgressLimit_ = 0;
   bool FreshConnection_ = false; ///< Do not reuse a connection.
+
+  // Of routed requests only.
+  std::string Host_;    ///< Name of the upstream's host, which it checks.
+  Headers Headers_;     ///< The caller's, to be passed on.
+  std::string Account_; ///< Empty: none.
+  Millis TimeLeft_ = 0; ///< For the whole answer.
+  bool Stream_ = false;
+  std::int64_t ResumeAfter_ = NoIndex; ///< Go on after this event.
+  int Urgency_ = 5;                    ///< 0 is first.
+  Millis MaxIdle_ = 0;                 ///< Of a connection to reuse.
 };
 
 struct CancelAttempt {
@@ -81,6 +92,26 @@
   bool Replayed_ = false; ///< Outcome of an earlier call with the same key.
 };
 
+/// Answers a routed request with an upstream's whole answer.
+struct ReplyRouted {
+  CallId Call_ = 0;
+  int Status_ = 0;
+  Headers Headers_;
+  std::string Body_;
+};
+
+/// Sends the head of an upstream's streamed answer.
+struct StartRoutedStream {
+  CallId Call_ = 0;
+  int Status_ = 0;
+  Headers Headers_;
+};
+
+/// Breaks the caller's connection off: its answer can't be finished.
+struct CutCall {
+  CallId Call_ = 0;
+};
+
 struct RefuseCall {
   CallId Call_ = 0;
   std::string RequestId_;
@@ -92,6 +123,12 @@
   PeerMessage Message_;
 };
 
+/// Tells where a peer is reached.
+struct KnowPeer {
+  std::string Peer_;
+  std::string Address_; ///< `ip:port`; empty: the peer is gone for good.
+};
+
 /// Replaces a peer link on which nothing arrives.
 struct ReconnectPeer {
   std::string Peer_;
@@ -106,6 +143,35 @@
   std::vector<LogRecord> Records_;
 };
 
+/// Reads on in what operators write.
+struct ReadOperator {
+  LogOffset From_ = 0;
+};
+
+/// Writes how a move to another version stands.
+struct WriteMoveState {
+  std::string Service_;
+  std::string To_;
+  std::string State_; ///< `running`, `complete` or `rolled_back`.
+};
+
+/// Orders a number of hosts for a service in a zone.
+struct OrderHosts {
+  std::uint64_t Order_ = 0;
+  LogOffset Epoch_ = NoOffset;
+  std::string Service_;
+  std::string Zone_;
+  int Count_ = 0;
+  bool Spot_ = false;
+};
+
+/// Reports what accounts used in one window.
+struct ReportUsage {
+  LogOffset Epoch_ = NoOffset;
+  std::int64_t Window_ = 0;
+  std::map<std::string, std::int64_t> Counts_; ///< Requests by account.
+};
+
 struct ReadHosts {};
 
 struct ReadNotices {};
@@ -137,11 +203,14 @@
 /// Ends the process: nothing is left to do.
 struct ExitProcess {};
 
-using Effect = std::variant<StartAttempt, CancelAttempt, StartStream, SendToken,
-                            FinishStream, MoveStream, ReplyWhole, ReplyService,
-                            RefuseCall, SendToPeer, ReconnectPeer, ReadLog,
-                            AppendToLog, ReadHosts, ReadNotices, ProbeUpstream,
-                            OrderLoad, WriteLog, CloseListener, ExitProcess>;
+using Effect =
+    std::variant<StartAttempt, CancelAttempt, StartStream, SendToken,
+                 FinishStream, MoveStream, ReplyWhole, ReplyService,
+                 ReplyRouted, StartRoutedStream, CutCall, RefuseCall,
+                 SendToPeer, KnowPeer, ReconnectPeer, ReadLog, AppendToLog,
+                 ReadOperator, WriteMoveState, OrderHosts, ReportUsage,
+                 ReadHosts, ReadNotices, ProbeUpstream, OrderLoad, WriteLog,
+                 CloseListener, ExitProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/src/event.h
+++ b/src/event.h
@@ -12,6 +12,15 @@
 
 namespace endivewharf {
 
+/// A part of a prompt that other prompts may begin with as well.
+struct PromptPart {
+  std::string Id_;
+  std::int64_t Tokens_ = 0;
+};
+
+/// No event of a stream.
+constexpr std::int64_t NoIndex = -1;
+
 /// A caller's request after the edge has read it.
 struct CallRequest {
   CallKind Kind_ = CallKind::Completion;
@@ -29,6 +38,14 @@
   std::string Method_;
   std::string Path_;
   std::string ContentType_;
+
+  // Of routed requests only.
+  std::string Host_;
+  Headers Headers_;                    ///< To be passed on.
+  std::vector<PromptPart> Parts_;      ///< In order.
+  std::int64_t PromptTokens_ = 0;      ///< As the caller states; 0: not told.
+  std::int64_t ResumeAfter_ = NoIndex; ///< Last event that the caller has.
+  std::int64_t LengthHint_ = 0; ///< The caller's guess of tokens to come.
 };
 
 struct RequestArrived {
@@ -48,6 +65,13 @@
   CallId Call_ = 0;
 };
 
+/// The head of an upstream's streamed answer.
+struct AttemptHead {
+  AttemptId Attempt_ = 0;
+  int Status_ = 0;
+  Headers Headers_;
+};
+
 /// One piece of generated text.
 struct AttemptToken {
   AttemptId Attempt_ = 0;
@@ -76,6 +100,7 @@
   int Status_ = 0;
   std::string ContentType_;
   std::string Body_;
+  Headers Headers_;
 };
 
 struct PeerReceived {
@@ -91,6 +116,31 @@
 
 struct LogReadFailed {};
 
+/// A configuration as operators of the platform have written it.
+struct PublishedConfiguration {
+  std::string Text_; ///< INI.
+};
+
+/// An operator's wish to move a service to hosts of another version.
+struct OrderedMove {
+  std::string Service_;
+  std::string To_;
+  Millis Duration_ = 0;
+};
+
+/// One thing that operators have written, at its place in their log.
+struct OperatorEntry {
+  LogOffset Offset_ = NoOffset;
+  std::variant<PublishedConfiguration, OrderedMove> Content_;
+};
+
+struct OperatorRead {
+  LogOffset Next_ = 0; ///< Where to read on.
+  std::vector<OperatorEntry> Entries_;
+};
+
+struct OperatorReadFailed {};
+
 /// The end of an append.
 struct AppendEnded {
   std::uint64_t Append_ = 0;
@@ -108,6 +158,10 @@
   bool Leaving_ = false;
   bool ChecksEpoch_ = false; ///< Refuses orders with an old fencing number.
   double Price_ = 1;         ///< Per hour.
+  std::string Version_;      ///< Of its software; empty: not told.
+  int Slots_ = 0;            ///< Requests it runs at once; 0: not told.
+  bool Spot_ = false;        ///< May be reclaimed, with all of its zone.
+  Millis ColdLeft_ = 0;      ///< Time for which it is still slow.
 };
 
 struct HostsRead {
@@ -146,6 +200,32 @@
   std::vector<LoadedVersion> Loaded_;
 };
 
+/// The platform's answer to a move's state.
+struct MoveStateWritten {
+  std::string Service_;
+  std::string To_;
+  std::string State_;
+  bool Accepted_ = false;
+};
+
+/// The platform's answer to an order of hosts.
+struct HostsOrdered {
+  std::uint64_t Order_ = 0;
+  bool Accepted_ = false;
+  bool None_ = false; ///< There are none to be had at the moment.
+};
+
+/// The platform's answer to a usage report.
+struct UsageReported {
+  std::int64_t Window_ = 0;
+  bool Accepted_ = false;
+};
+
+/// The settings file has changed; addresses hold until the next start.
+struct SettingsChanged {
+  Settings Settings_;
+};
+
 struct Tick {};
 
 /// The operator or the platform wants this process to end.
@@ -154,10 +234,12 @@
 };
 
 using EventBody =
-    std::variant<RequestArrived, ResumeArrived, CallerGone, AttemptToken,
-                 AttemptEnded, AttemptFailed, ServiceReply, PeerReceived,
-                 LogRead, LogReadFailed, AppendEnded, HostsRead, NoticesRead,
-                 ProbeEnded, Tick, StopRequested>;
+    std::variant<RequestArrived, ResumeArrived, CallerGone, AttemptHead,
+                 AttemptToken, AttemptEnded, AttemptFailed, ServiceReply,
+                 PeerReceived, LogRead, LogReadFailed, AppendEnded,
+                 OperatorRead, OperatorReadFailed, HostsRead, NoticesRead,
+                 ProbeEnded, MoveStateWritten, HostsOrdered, UsageReported,
+                 SettingsChanged, Tick, StopRequested>;
 
 /// An event with the only time and randomness that the core sees.
 struct Event {
--- a/src/handover.cpp
+++ b/src/handover.cpp
@@ -3,10 +3,10 @@
 #include "handover.h"
 
 #include "calls.h"
-#include "core.h"
 #include "dispatch.h"
 #include "lease.h"
 #include "membership.h"
+#include "record.h"
 #include "resume.h"
 
 #include <algorithm>
@@ -18,7 +18,6 @@
 
 constexpr Millis HandoverLead = 1500; // ms before the end to hand over
 constexpr Millis HandoverRetry = 300; // ms without an acknowledgement
-constexpr Millis UnreadyTime = 500;   // ms for the balancer to notice
 constexpr Millis FindLimit = 1500;    // ms to wait for the call's holder
 constexpr std::size_t Copies = 2;     // peers that get a record
 
@@ -166,7 +165,7 @@
   if (S.Stage_ != Stage::Draining)
     return;
   const bool Short = S.StopDeadline_ - S.StopStartedAt_ < 2 * HandoverLead;
-  const Millis Unready = Short ? 0 : UnreadyTime;
+  const Millis Unready = Short ? 0 : S.Settings_.Limits_.UnreadyTime_;
   if (!S.ListenerClosed_ && S.Now_ - S.StopStartedAt_ >= Unready) {
     S.ListenerClosed_ = true;
     releaseLease(S);
@@ -185,4 +184,23 @@
   }
 }
 
+void beginStop(State &S, Millis TimeLeft, std::string_view Reason,
+               Effects &Out) {
+  const Millis Limit = TimeLeft > 0 ? TimeLeft
+                                    : S.Settings_.Limits_.DrainLimit_ -
+                                          S.Settings_.Limits_.StopMargin_;
+  const Millis Deadline = S.Now_ + Limit;
+  if (S.Stage_ == Stage::Draining) {
+    S.StopDeadline_ = std::min(S.StopDeadline_, Deadline);
+    return;
+  }
+  S.Stage_ = Stage::Draining;
+  S.StopStartedAt_ = S.Now_;
+  S.StopDeadline_ = Deadline;
+  logEvent(Out, "stopping",
+           {{"reason", std::string(Reason)},
+            {"time_left_ms", std::to_string(Limit)}});
+  copyCallsToPeers(S, Out);
+}
+
 } // namespace endivewharf
--- a/src/handover.h
+++ b/src/handover.h
@@ -4,6 +4,8 @@
 
 #include "state.h"
 
+#include <string_view>
+
 namespace endivewharf {
 
 void onHandover(State &S, const std::string &From, const HandoverMessage &M,
@@ -13,6 +15,11 @@
                 Effects &Out);
 void onFoundCall(State &S, const FoundCallMessage &M, Effects &Out);
 
+/// Begins a graceful stop; a shorter time limit replaces a longer one.
+/// @param TimeLeft 0: the drain limit of the settings
+void beginStop(State &S, Millis TimeLeft, std::string_view Reason,
+               Effects &Out);
+
 /// Asks the peers for a call that this process does not know.
 void askPeersForCall(State &S, Call &C, Effects &Out);
 
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,13 +1,13 @@
 // RESTinio servers for callers and operators.
 #include "http.h"
 
+#include "webserver.h"
+
 #include <algorithm>
 #include <charconv>
 #include <chrono>
 #include <fmt/format.h>
-#include <netinet/tcp.h>
 #include <nlohmann/json.hpp>
-#include <restinio/all.hpp>
 #include <unordered_map>
 
 namespace endivewharf {
@@ -15,20 +15,13 @@
 namespace {
 
 using Json = nlohmann::json;
-using Traits = restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
-                                                restinio::null_logger_t>;
-using Server = restinio::http_server_t<Traits>;
 using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
 using Status = restinio::request_handling_status_t;
 
-constexpr auto ReadLimit = std::chrono::seconds(15);  // head and body
-constexpr auto WriteLimit = std::chrono::seconds(10); // one piece of answer
-constexpr auto HandleLimit = std::chrono::hours(2);   // the core has its own
+constexpr auto ReadLimit = std::chrono::seconds(15); // head and body
 constexpr auto PingPeriod = std::chrono::milliseconds(500);
-constexpr Millis QuietBeforePing = 1000;    // ms
-constexpr int SilentPeerLimitMs = 10000;    // TCP_USER_TIMEOUT
-constexpr std::size_t MaxHeader = 16 << 10; // bytes
-constexpr std::size_t BodySlack = 4 << 20;  // read past the limit for a reply
+constexpr Millis QuietBeforePing = 1000;   // ms
+constexpr std::size_t BodySlack = 4 << 20; // read past the limit for a reply
 
 std::string dumpJson(const Json &Value) {
   return Value.dump(-1, ' ', false, Json::error_handler_t::replace);
@@ -214,9 +207,10 @@
   const Settings &Settings_;
   EventSink Sink_;
   OperatorViews Views_;
-  std::unique_ptr<Server> Callers_;
-  std::unique_ptr<Server> Operators_;
+  std::unique_ptr<WebServer> Callers_;
+  std::unique_ptr<WebServer> Operators_;
   std::unordered_map<CallId, Pending> Pending_;
+  std::unordered_multimap<restinio::connection_id_t, CallId> ByConnection_;
   CallId NextCall_ = 1;
   asio::steady_timer PingTimer_;
   bool Closing_ = false;
@@ -237,6 +231,7 @@
     Pending New;
     New.Request_ = Request;
     New.Chat_ = Chat;
+    ByConnection_.emplace(Request->connection_id(), Id);
     Pending_.emplace(Id, std::move(New));
     return Id;
   }
@@ -333,34 +328,24 @@
     return answer(Request, 404, "text/plain", "no such path\n");
   }
 
-  template <typename Handler>
-  std::unique_ptr<Server> makeServer(const SocketAddress &Address,
-                                     Handler OnRequest) {
-    const std::size_t MaxBody =
-        static_cast<std::size_t>(Settings_.Limits_.MaxBody_) + BodySlack;
-    return std::make_unique<Server>(
-        restinio::external_io_context(Io_), [&](auto &S) {
-          S.address(Address.Ip_)
-              .port(static_cast<std::uint16_t>(Address.Port_))
-              .request_handler(OnRequest)
-              .read_next_http_message_timelimit(ReadLimit)
-              .write_http_response_timelimit(WriteLimit)
-              .handle_request_timeout(HandleLimit)
-              .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
-                                            .max_url_size(MaxHeader)
-                                            .max_field_value_size(MaxHeader)
-                                            .max_field_count(100)
-                                            .max_body_size(MaxBody))
-              .socket_options_setter([](auto &Options) {
-                Options.set_option(
-                    asio::ip::tcp::acceptor::reuse_address(true));
-                Options.set_option(asio::ip::tcp::no_delay(true));
-                Options.set_option(
-                    asio::detail::socket_option::integer<IPPROTO_TCP,
-                                                         TCP_USER_TIMEOUT>(
-                        SilentPeerLimitMs));
-              });
-        });
+  std::unique_ptr<WebServer> makeServer(const SocketAddress &Address,
+                                        WebHandler OnRequest) {
+    const WebLimits Limits{
+        ReadLimit,
+        static_cast<std::size_t>(Settings_.Limits_.MaxBody_) + BodySlack};
+    return makeWebServer(Io_, Address, Limits, std::move(OnRequest),
+                         [this](restinio::connection_id_t Id) { closed(Id); });
+  }
+
+  /// Callers of requests that are pending on a connection have left.
+  void closed(restinio::connection_id_t Connection) {
+    const auto [First, Last] = ByConnection_.equal_range(Connection);
+    std::vector<CallId> Left;
+    for (auto I = First; I != Last; ++I)
+      Left.push_back(I->second);
+    ByConnection_.erase(First, Last);
+    for (const CallId Id : Left)
+      gone(Id);
   }
 
   void write(CallId Id, Pending &P, std::string Bytes) {
@@ -373,14 +358,29 @@
   }
 
   void gone(CallId Id) {
-    if (Pending_.erase(Id) > 0)
+    if (forget(Id))
       Sink_(CallerGone{Id});
   }
 
+  /// @return false if the request had been answered
+  bool forget(CallId Id) {
+    const auto Found = Pending_.find(Id);
+    if (Found == Pending_.end())
+      return false;
+    const auto [First, Last] =
+        ByConnection_.equal_range(Found->second.Request_->connection_id());
+    const auto Entry = std::find_if(
+        First, Last, [Id](const auto &Row) { return Row.second == Id; });
+    if (Entry != Last)
+      ByConnection_.erase(Entry);
+    Pending_.erase(Found);
+    return true;
+  }
+
   void finish(CallId Id, Pending &P, std::string Bytes) {
     P.Stream_->append_chunk(std::move(Bytes));
     P.Stream_->done(lastWrite());
-    Pending_.erase(Id);
+    forget(Id);
   }
 
   /// Keeps quiet streams open and notices callers that have gone.
@@ -424,7 +424,8 @@
       Failed(E.what());
     }
   };
-  I.Callers_->open_async([] {}, OnError);
+  if (!I.Settings_.onPlatform())
+    I.Callers_->open_async([] {}, OnError);
   I.Operators_->open_async([] {}, OnError);
   I.armPings();
 }
@@ -519,7 +520,7 @@
   Impl_->addCommonHeaders(Response);
   Response.set_body(dumpJson(Body));
   Response.done(Impl_->lastWrite());
-  Impl_->Pending_.erase(E.Call_);
+  Impl_->forget(E.Call_);
 }
 
 void HttpEdge::operator()(const ReplyService &E) {
@@ -537,7 +538,7 @@
   Impl_->addCommonHeaders(Response);
   Response.set_body(E.Body_);
   Response.done(Impl_->lastWrite());
-  Impl_->Pending_.erase(E.Call_);
+  Impl_->forget(E.Call_);
 }
 
 void HttpEdge::operator()(const RefuseCall &E) {
@@ -560,7 +561,7 @@
   Impl_->addCommonHeaders(Response);
   Response.set_body(errorBody(E.RequestId_, E.Error_));
   Response.done(Impl_->lastWrite());
-  Impl_->Pending_.erase(E.Call_);
+  Impl_->forget(E.Call_);
 }
 
 void HttpEdge::closeListener() {
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -3,7 +3,7 @@
 #include "lease.h"
 
 #include "controllog.h"
-#include "core.h"
+#include "record.h"
 
 #include <fmt/format.h>
 
--- a/src/logger.cpp
+++ b/src/logger.cpp
@@ -1,15 +1,34 @@
-// Log lines by fmt; the time is UTC.
+// Log lines by fmt, collected and written a few times a second; the time is
+// UTC.
 #include "logger.h"
 
+#include <algorithm>
 #include <chrono>
-#include <cstdio>
+#include <fcntl.h>
 #include <fmt/chrono.h>
 #include <fmt/format.h>
+#include <unistd.h>
+#include <utility>
 
 namespace endivewharf {
 
 namespace {
 
+constexpr std::size_t MaxWaiting = 512 << 10; // bytes not yet written
+constexpr std::size_t MaxFlush = 64 << 10;    // bytes of one write
+
+/// Lines that wait for standard output; one loop writes them.
+struct Log {
+  std::string Process_;
+  std::string Waiting_;
+  std::size_t Dropped_ = 0;
+};
+
+Log &log() {
+  static Log Only;
+  return Only;
+}
+
 std::string_view name(LogLevel Level) {
   switch (Level) {
   case LogLevel::Info:
@@ -39,22 +58,51 @@
   return Quoted + '"';
 }
 
+void openLog(std::string_view Process) {
+  log().Process_ = quoteLogValue(Process);
+  const int Flags = fcntl(STDOUT_FILENO, F_GETFL);
+  if (Flags >= 0)
+    fcntl(STDOUT_FILENO, F_SETFL, Flags | O_NONBLOCK);
+}
+
 void writeLogLine(
-    LogLevel Level, std::string_view Process, std::string_view Event,
+    LogLevel Level, std::string_view Event,
     const std::vector<std::pair<std::string, std::string>> &Fields) {
+  Log &L = log();
+  if (L.Waiting_.size() >= MaxWaiting) {
+    ++L.Dropped_;
+    return;
+  }
+  if (L.Dropped_ > 0) {
+    const std::string Count = std::to_string(std::exchange(L.Dropped_, 0));
+    writeLogLine(LogLevel::Warning, "log_lines_dropped", {{"count", Count}});
+  }
   const auto Now = std::chrono::system_clock::now();
   const auto Ms = std::chrono::duration_cast<std::chrono::milliseconds>(
                       Now.time_since_epoch())
                       .count() %
                   1000;
-  std::string Line = fmt::format(
+  L.Waiting_ += fmt::format(
       "time={:%Y-%m-%dT%H:%M:%S}.{:03}Z level={} process={} event={}",
       fmt::gmtime(std::chrono::system_clock::to_time_t(Now)), Ms, name(Level),
-      quoteLogValue(Process), Event);
-  for (const auto &[Key, Value] : Fields)
-    Line += fmt::format(" {}={}", Key, quoteLogValue(Value));
-  Line += '\n';
-  std::fwrite(Line.data(), 1, Line.size(), stderr);
+      L.Process_, Event);
+  for (const auto &[Key, Value] : Fields) {
+    L.Waiting_ += ' ';
+    L.Waiting_ += Key;
+    L.Waiting_ += '=';
+    L.Waiting_ += quoteLogValue(Value);
+  }
+  L.Waiting_ += '\n';
+}
+
+void flushLog() {
+  std::string &Waiting = log().Waiting_;
+  const std::size_t Most = std::min(Waiting.size(), MaxFlush);
+  if (Most == 0)
+    return;
+  const ssize_t Written = ::write(STDOUT_FILENO, Waiting.data(), Most);
+  if (Written > 0)
+    Waiting.erase(0, static_cast<std::size_t>(Written));
 }
 
 } // namespace endivewharf
--- a/src/logger.h
+++ b/src/logger.h
@@ -1,4 +1,5 @@
-// Structured logs: one key=value line per event on standard error.
+// Structured log lines on standard output: bounded, never blocking. What does
+// not fit is dropped and counted.
 #pragma once
 
 #include <string>
@@ -10,15 +11,19 @@
 
 enum class LogLevel { Info, Warning, Error };
 
-/// Writes one line.
-/// @param Process name of this process
-/// @param Event what happened
-/// @param Fields keys and values; values are quoted where needed
+/// Prepares standard output.
+/// @param Process name that stands in each line
+void openLog(std::string_view Process);
+
+/// Adds one line of key=value pairs to what is to be written.
 void writeLogLine(
-    LogLevel Level, std::string_view Process, std::string_view Event,
+    LogLevel Level, std::string_view Event,
     const std::vector<std::pair<std::string, std::string>> &Fields);
 
-/// Quotes a value that would break the line's form.
+/// Writes as much as standard output takes at once.
+void flushLog();
+
+/// A value as it stands in a line: in quotes where it has to be.
 std::string quoteLogValue(std::string_view Value);
 
 } // namespace endivewharf
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -3,9 +3,10 @@
 #include "membership.h"
 
 #include "controllog.h"
-#include "core.h"
 #include "handover.h"
+#include "record.h"
 #include "release.h"
+#include "sums.h"
 #include "upstreams.h"
 
 #include <algorithm>
@@ -25,6 +26,8 @@
 constexpr std::size_t SmallGroup = 6;          // peers who all get everything
 constexpr std::size_t DigestTargets = 2;       // in our data centre, else
 constexpr std::size_t RumourTargets = 5;       // peers told of a new fact
+constexpr Millis GreetPeriod = 500;  // ms between digests to unknown seeds
+constexpr Millis ForgetTime = 20000; // ms of silence
 constexpr std::size_t Judges = 3;    // processes that collect evidence
 constexpr Millis NewsTime = 15000;   // ms for which a life is new
 constexpr std::size_t NewRows = 12;  // new lives' rows in a digest
@@ -79,6 +82,8 @@
   Row.Heartbeat_ = S.Membership_.Heartbeat_;
   Row.ConfigVersion_ = S.Config_.Version_;
   Row.Draining_ = S.Stage_ != Stage::Serving;
+  if (S.Settings_.onPlatform())
+    Row.Address_ = format(S.Settings_.PeerListen_);
   return Row;
 }
 
@@ -134,9 +139,63 @@
            {{"peer", M.Row_.Life_.Name_}});
 }
 
+/// Adds a process that was not known, or has moved to another address.
+void learnAddress(State &S, const MemberRow &Row, Effects &Out) {
+  if (Row.Address_.empty() || Row.Life_.Name_ == S.Self_.Name_)
+    return;
+  Member &M = S.Membership_.Members_[Row.Life_.Name_];
+  const bool Older = Row.Life_.Incarnation_ < M.Row_.Life_.Incarnation_;
+  if (Older || M.Row_.Address_ == Row.Address_)
+    return;
+  if (M.Row_.Life_.Name_.empty()) {
+    M.Row_.Life_.Name_ = Row.Life_.Name_;
+    M.Row_.DataCentre_ = Row.DataCentre_;
+    M.Row_.Zone_ = Row.Zone_;
+    M.AdvancedAt_ = S.Now_;
+  }
+  M.Row_.Address_ = Row.Address_;
+  Out.push_back(KnowPeer{Row.Life_.Name_, Row.Address_});
+  logEvent(Out, "peer_address",
+           {{"peer", Row.Life_.Name_}, {"address", Row.Address_}});
+}
+
+/// Forgets processes that have been silent for long: their hosts are gone.
+void forgetSilent(State &S, Effects &Out) {
+  std::erase_if(S.Membership_.Members_, [&](const auto &Entry) {
+    const Member &M = Entry.second;
+    if (M.Alive_ || M.Row_.Address_.empty() ||
+        S.Now_ - M.AdvancedAt_ < ForgetTime)
+      return false;
+    Out.push_back(KnowPeer{Entry.first, ""});
+    logEvent(Out, "peer_forgotten", {{"peer", Entry.first}});
+    return true;
+  });
+}
+
+/// Until somebody is known, digests go to the addresses of the settings.
+void greetSeeds(State &S, Effects &Out) {
+  for (const SocketAddress &Seed : S.Settings_.Seeds_) {
+    const std::string Address =
+        format({Seed.Ip_, S.Settings_.PeerListen_.Port_});
+    const bool Known =
+        std::any_of(S.Membership_.Members_.begin(),
+                    S.Membership_.Members_.end(), [&](const auto &Entry) {
+                      return Entry.second.Row_.Address_ == Address;
+                    });
+    if (Known || Address == format(S.Settings_.PeerListen_))
+      continue;
+    DigestMessage Greeting;
+    Greeting.Members_.push_back(ownRow(S));
+    Greeting.ControlVersion_ = S.Control_.Version_;
+    Out.push_back(KnowPeer{Address, Address});
+    Out.push_back(SendToPeer{Address, Greeting});
+  }
+}
+
 void mergeRow(State &S, const MemberRow &Row, Effects &Out) {
   if (Row.Life_.Name_ == S.Self_.Name_)
     return;
+  learnAddress(S, Row, Out);
   const auto Found = S.Membership_.Members_.find(Row.Life_.Name_);
   if (Found == S.Membership_.Members_.end())
     return; // not in our settings: no address to reach it at
@@ -192,7 +251,10 @@
       return;
     Found->second.SequenceSeen_ = D.Sequence_;
     Found->second.Acknowledged_ = D.Acknowledged_;
-    if (D.ControlVersion_ > S_.Control_.Version_)
+    const bool NewerConfig =
+        !D.Members_.empty() && S_.Settings_.onPlatform() &&
+        D.Members_.front().ConfigVersion_ > S_.Config_.Version_;
+    if (D.ControlVersion_ > S_.Control_.Version_ || NewerConfig)
       Out_.push_back(SendToPeer{From_, ControlRequestMessage{}});
     if (D.FactsHash_ != factsHash(S_))
       Out_.push_back(SendToPeer{From_, allFacts(S_)});
@@ -225,10 +287,34 @@
     onFindCall(S_, From_, M, Out_);
   }
   void operator()(const FoundCallMessage &M) const { onFoundCall(S_, M, Out_); }
+  void operator()(const SumsMessage &M) const { onSums(S_, From_, M); }
 };
 
+/// Addresses on the platform: told to all by the log, greeted by the settings.
+void tickAddresses(State &S, Effects &Out) {
+  MembershipState &All = S.Membership_;
+  if (!All.Joined_ && S.Log_.SawTail_) {
+    All.Joined_ = true;
+    appendRecord(S, JoinRecord{ownRow(S)});
+  }
+  const auto Alive = static_cast<std::size_t>(
+      std::count_if(All.Members_.begin(), All.Members_.end(),
+                    [](const auto &Entry) { return Entry.second.Alive_; }));
+  if (Alive + 1 > All.Largest_)
+    All.Largest_ = Alive + 1;
+  if (S.Now_ - All.GreetedAt_ < GreetPeriod)
+    return;
+  All.GreetedAt_ = S.Now_;
+  greetSeeds(S, Out);
+  forgetSilent(S, Out);
+}
+
 } // namespace
 
+void onJoin(State &S, const JoinRecord &R, Effects &Out) {
+  learnAddress(S, R.Row_, Out);
+}
+
 void onPeerReceived(State &S, const PeerReceived &E, Effects &Out) {
   count(S, "peer_messages");
   std::visit(MessageVisitor{S, E.Envelope_.From_.Name_, Out},
@@ -241,6 +327,8 @@
   for (auto &[Name, M] : S.Membership_.Members_)
     if (M.Alive_ && S.Now_ - M.AdvancedAt_ > Silence)
       setAlive(M, false, Out);
+  if (S.Settings_.onPlatform())
+    tickAddresses(S, Out);
   const Millis Period = Small ? SmallGroupPeriod : LargeGroupPeriod;
   if (S.Now_ - S.Membership_.DigestAt_ < Period)
     return;
--- a/src/membership.h
+++ b/src/membership.h
@@ -9,6 +9,9 @@
 
 void onPeerReceived(State &S, const PeerReceived &E, Effects &Out);
 
+/// Learns from the log where a process is reached.
+void onJoin(State &S, const JoinRecord &R, Effects &Out);
+
 /// Sends heartbeats and finds out who has fallen silent.
 void tickMembership(State &S, Effects &Out);
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -72,6 +72,7 @@
   std::uint64_t Heartbeat_ = 0;
   LogOffset ConfigVersion_ = NoOffset;
   bool Draining_ = false;
+  std::string Address_; ///< `ip:port` for peers; empty: as in the settings.
 };
 
 /// One model's release move.
@@ -112,6 +113,34 @@
   std::uint64_t Acknowledged_ = 0; ///< Last sequence got from the receiver.
 };
 
+/// What one process has under way at an upstream.
+struct LoadRow {
+  std::uint32_t Upstream_ = 0; ///< Hash of its life.
+  int InFlight_ = 0;
+  int PrefillMs_ = 0; ///< Of prompts without a first event.
+};
+
+/// Units that an account asks for at one process.
+struct DemandRow {
+  std::string Account_;
+  double PerSecond_ = 0;
+};
+
+/// Requests of an account that began to run in one window.
+struct UsageRow {
+  std::int64_t Window_ = 0;
+  std::string Account_;
+  std::int64_t Count_ = 0;
+};
+
+/// Sums that the sender keeps; each message replaces the one before.
+struct SumsMessage {
+  std::vector<LoadRow> Loads_;
+  std::vector<DemandRow> Demands_;
+  std::vector<UsageRow> Usage_;
+  std::int64_t UnixMs_ = 0; ///< True time, as the sender believes.
+};
+
 /// Facts and evidence; merging is idempotent and order does not matter.
 struct FactsMessage {
   std::vector<LeavingFact> Leaving_;
@@ -167,7 +196,7 @@
 using PeerMessage =
     std::variant<DigestMessage, FactsMessage, ControlMessage,
                  ControlRequestMessage, HandoverMessage, HandoverAckMessage,
-                 FindCallMessage, FoundCallMessage>;
+                 FindCallMessage, FoundCallMessage, SumsMessage>;
 
 /// A message with its sender.
 struct PeerEnvelope {
@@ -258,10 +287,22 @@
   ControlSnapshot Control_;
 };
 
+/// Where a process is reached by its peers.
+struct JoinRecord {
+  MemberRow Row_;
+};
+
+/// What is to be reported for a window; the first one for it holds.
+struct UsageRecord {
+  LogOffset Epoch_ = NoOffset;
+  std::int64_t Window_ = 0;
+  std::vector<UsageRow> Rows_;
+};
+
 using LogRecord =
     std::variant<ConfigRecord, NoteRecord, LeaseAcquireRecord, LeaseRenewRecord,
                  ShareRecord, VerdictRecord, ClaimRecord, ClaimReleaseRecord,
-                 ClaimDoneRecord, SnapshotRecord>;
+                 ClaimDoneRecord, SnapshotRecord, JoinRecord, UsageRecord>;
 
 /// A record at its place; empty if it could not be understood.
 struct LogEntry {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -65,10 +65,15 @@
            static_cast<double>(S.Config_.Version_));
   addGauge(Registry, "calls", "requests under way",
            static_cast<double>(S.Calls_.size()));
-  addGauge(Registry, "waiting", "requests waiting for an upstream",
-           S.Admission_.Waiting_[0], {{"priority", "interactive"}});
-  addGauge(Registry, "waiting", "requests waiting for an upstream",
-           S.Admission_.Waiting_[1], {{"priority", "batch"}});
+  int Waiting[2] = {0, 0};
+  for (const auto &[Name, Lane] : S.Admission_.Lanes_) {
+    Waiting[0] += Lane.Waiting_[0];
+    Waiting[1] += Lane.Waiting_[1];
+  }
+  addGauge(Registry, "waiting", "requests waiting for an upstream", Waiting[0],
+           {{"priority", "interactive"}});
+  addGauge(Registry, "waiting", "requests waiting for an upstream", Waiting[1],
+           {{"priority", "batch"}});
   addGauge(Registry, "upstreams", "upstreams that may get work",
            static_cast<double>(Usable));
   addGauge(Registry, "peers_alive", "other processes that are heard from",
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -6,10 +6,11 @@
 #include "admission.h"
 #include "calls.h"
 #include "claims.h"
-#include "core.h"
 #include "dispatch.h"
+#include "record.h"
 #include "release.h"
 #include "resume.h"
+#include "routed.h"
 #include "upstreams.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -24,7 +25,8 @@
 /// The upstream has not taken the call: nothing is lost by another try.
 bool isUntouched(AttemptFailure Failure) {
   return Failure == AttemptFailure::NotSent ||
-         Failure == AttemptFailure::Refused;
+         Failure == AttemptFailure::Refused ||
+         Failure == AttemptFailure::OtherHost;
 }
 
 /// Puts a call back at the front of its queue, or refuses it for good.
@@ -33,10 +35,10 @@
                    Effects &Out) {
   if (!isUntouched(E.Failure_))
     ++C.Failures_;
-  if (C.Failures_ >= MaxFailures || (Budgeted && !takeRetry(S))) {
+  if (C.Failures_ >= MaxFailures || (Budgeted && !takeRetry(S, C))) {
     refuse(S, C,
            {ErrorKind::UpstreamFailed, runStateOf(S, C), E.Detail_,
-            retryAfter(S, C.Request_.Priority_)},
+            retryAfter(S, C)},
            Out);
     return;
   }
@@ -99,6 +101,9 @@
   Attempt &A = Found->second;
   Call &C = S.Calls_.at(A.Call_);
   A.LastProgressAt_ = S.Now_;
+  const bool Routed = C.Request_.Kind_ == CallKind::Routed;
+  if (Routed && !C.IndexKnown_)
+    C.NextIndex_ = E.Index_; // upstreams say where their streams begin
   if (E.Index_ < C.NextIndex_) {
     count(S, "duplicate_tokens");
     return;
@@ -115,6 +120,11 @@
     Upstream &U = S.Upstreams_[A.Upstream_];
     const double Wait = static_cast<double>(S.Now_ - A.StartedAt_);
     U.FirstTokenMs_ += MovingAverageShare * (Wait - U.FirstTokenMs_);
+    U.PrefillMs_ = std::max(0.0, U.PrefillMs_ - A.PrefillMs_);
+  }
+  if (Routed) {
+    passEvent(S, C, E, Out);
+    return;
   }
   ++C.NextIndex_;
   C.Text_ += E.Text_;
@@ -146,6 +156,11 @@
   U.ServiceMs_ += MovingAverageShare * (Took - U.ServiceMs_);
   Call &C = *Taken->Call_;
   noteEvidence(S, Taken->Attempt_, C, false, Out);
+  if (C.Request_.Kind_ == CallKind::Routed) {
+    finishRouted(S, C, Out);
+    dispatchWaiting(S, Out);
+    return;
+  }
   C.FinishReason_ = E.FinishReason_;
   C.PromptTokens_ = E.PromptTokens_;
   count(S, "prompt_tokens", E.PromptTokens_);
@@ -163,7 +178,8 @@
   count(S, "attempts_failed");
   noteAttemptFailed(S, A.Upstream_, E.Failure_);
   if (E.Failure_ == AttemptFailure::NotSent ||
-      E.Failure_ == AttemptFailure::Refused)
+      E.Failure_ == AttemptFailure::Refused ||
+      E.Failure_ == AttemptFailure::OtherHost)
     C.Uncertain_ = std::max(0, C.Uncertain_ - 1);
   const Life Host = S.Upstreams_[A.Upstream_].Row_.Host_;
   remember(S, C.RequestId_,
@@ -176,7 +192,10 @@
               {"detail", E.Detail_}});
   if (E.Leaving_)
     markLeaving(S, Host, "engine", Out);
-  if (C.Request_.Kind_ == CallKind::Completion) {
+  if (C.Request_.Kind_ == CallKind::Routed) {
+    noteEvidence(S, A, C, !isUntouched(E.Failure_), Out);
+    retryRouted(S, C, A, E, Out);
+  } else if (C.Request_.Kind_ == CallKind::Completion) {
     noteEvidence(S, A, C,
                  E.Failure_ == AttemptFailure::Failed ||
                      E.Failure_ == AttemptFailure::Garbage ||
@@ -195,6 +214,12 @@
     return;
   noteAttemptOk(S, Taken->Attempt_.Upstream_);
   Call &C = *Taken->Call_;
+  if (C.Request_.Kind_ == CallKind::Routed) {
+    noteEvidence(S, Taken->Attempt_, C, E.Status_ >= 500, Out);
+    onRoutedReply(S, C, Taken->Attempt_, E, Out);
+    dispatchWaiting(S, Out);
+    return;
+  }
   const ClaimDoneRecord Outcome{C.Request_.IdempotencyKey_,
                                 C.ClaimId_,
                                 true,
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -101,6 +101,21 @@
            NNG_FLAG_NONBLOCK);
 }
 
+void PeerLinks::know(const KnowPeer &E) {
+  const auto Address = parseAddress(E.Address_);
+  const auto Found = Links_.find(E.Peer_);
+  if (Found != Links_.end()) {
+    const bool Same =
+        Address && format(Found->second.Address_) == format(*Address);
+    if (Same)
+      return;
+    reconnect(E.Peer_);
+    Links_.erase(Found);
+  }
+  if (Address)
+    Links_[E.Peer_].Address_ = *Address;
+}
+
 void PeerLinks::reconnect(const std::string &Peer) {
   const auto Found = Links_.find(Peer);
   if (Found == Links_.end() || !Found->second.Open_)
--- a/src/peers.h
+++ b/src/peers.h
@@ -32,6 +32,9 @@
 
   void send(const SendToPeer &E);
 
+  /// Remembers where a peer is reached, or forgets the peer.
+  void know(const KnowPeer &E);
+
   /// Opens a new connection to a peer whose old one has gone silent.
   void reconnect(const std::string &Peer);
 
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -20,19 +20,9 @@
 constexpr int LogPage = 500;               // records a read
 constexpr std::size_t MaxReply = 16 << 20; // bytes of any platform reply
 
-/// Collects a whole body, then calls `Done` with it.
 void fetch(HttpClient &Client, HttpRequest Request,
            std::function<void(const HttpResult &, const std::string &)> Done) {
-  auto Body = std::make_shared<std::string>();
-  Client.start(
-      std::move(Request),
-      [Body](int, std::string_view Bytes) {
-        Body->append(Bytes);
-        return Body->size() <= MaxReply;
-      },
-      [Body, Done = std::move(Done)](const HttpResult &Result) {
-        Done(Result, *Body);
-      });
+  fetchWhole(Client, std::move(Request), MaxReply, std::move(Done));
 }
 
 bool isOk(const HttpResult &Result) {
--- /dev/null
+++ b/src/record.h
@@ -0,0 +1,19 @@
+// What every module writes down: log lines, decisions for `dump`, randomness.
+// Lies below the modules that decide.
+#pragma once
+
+#include "state.h"
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace endivewharf {
+
+using LogFields = std::vector<std::pair<std::string, std::string>>;
+
+/// Adds a log line.
+void logEvent(Effects &Out, std::string Event, LogFields Fields);
+void logWarning(Effects &Out, std::string Event, LogFields Fields);
+
+} // namespace endivewharf
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -4,9 +4,9 @@
 #include "release.h"
 
 #include "controllog.h"
-#include "core.h"
 #include "lease.h"
 #include "membership.h"
+#include "record.h"
 #include "router.h"
 
 #include <algorithm>
@@ -344,6 +344,7 @@
 }
 
 void applyShare(State &S, const ShareRecord &R, Effects &Out) {
+  S.Release_.Shares_[{R.Note_, R.Model_}] = R.Share_;
   const auto Found = S.Release_.Moves_.find(R.Model_);
   if (Found == S.Release_.Moves_.end() || Found->second.Row_.Note_ != R.Note_ ||
       Found->second.Row_.Bad_)
@@ -428,7 +429,7 @@
     return;
   EvidenceRow Row;
   Row.Note_ = A.Note_;
-  Row.Model_ = C.Request_.Model_;
+  Row.Model_ = moveKey(C);
   Row.New_ = A.NewVersion_;
   Row.Route_ = C.Request_.Route_;
   Row.DataCentre_ = S.Settings_.DataCentre_;
@@ -439,9 +440,10 @@
   SampleSums &Sums = Found->second.Sums_;
   ++Sums.Count_;
   Sums.Failed_ += Failed ? 1 : 0;
-  if (!Failed && C.NextIndex_ > 0 && C.Attempts_ == 1) {
+  const bool Whole = C.Request_.Kind_ == CallKind::Routed && !C.Events_;
+  if (!Failed && (C.NextIndex_ > 0 || Whole) && C.Attempts_ == 1) {
     const double PerToken = static_cast<double>(S.Now_ - A.StartedAt_) /
-                            static_cast<double>(C.NextIndex_);
+                            static_cast<double>(Whole ? 1 : C.NextIndex_);
     const double LogLatency = std::log(std::max(0.1, PerToken));
     ++Sums.Timed_;
     Sums.LogLatency_ += LogLatency;
@@ -556,7 +558,7 @@
       continue;
     }
     reportLate(S, M, Out);
-    if (holdsLease(S))
+    if (holdsLease(S) && !S.Settings_.onPlatform())
       planShare(S, M, V, Out);
   }
   spreadEvidence(S, Out);
--- a/src/resume.cpp
+++ b/src/resume.cpp
@@ -4,10 +4,10 @@
 #include "admission.h"
 #include "calls.h"
 #include "claims.h"
-#include "core.h"
 #include "dispatch.h"
 #include "handover.h"
 #include "outcomes.h"
+#include "record.h"
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -112,7 +112,7 @@
                               "no such request to go on with", 0}});
     return;
   }
-  ++S.Admission_.Accounts_[New.Account_].InFlight_;
+  ++S.Admission_.Accounts_[queueName(New)].InFlight_;
   S.CallByRequestId_[New.RequestId_] = E.Call_;
   Call &C = S.Calls_.emplace(E.Call_, std::move(New)).first->second;
   const auto Held = S.Held_.ById_.find(E.RequestId_);
@@ -163,7 +163,8 @@
   count(S, "callers_gone");
   // A call that may not be repeated runs to its end: its outcome is what a
   // caller who asks again with the same key gets.
-  if (isUnrepeatableCall(S, *C) && C->Phase_ == CallPhase::Running)
+  if (C->Request_.Kind_ == CallKind::Service && isUnrepeatableCall(S, *C) &&
+      C->Phase_ == CallPhase::Running)
     return;
   if (C->Request_.Kind_ == CallKind::Completion) {
     detach(S, *C, Out);
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -20,14 +20,22 @@
 constexpr int RingPoints = 8;              // hash ring points per upstream
 constexpr std::size_t AffinityCandidates = 2;
 constexpr std::size_t RandomCandidates = 2;
-constexpr double PrefillMsPerBlock = 8; // cost of an uncached block
-constexpr double DecodePressureMs = 3;  // cost of one more stream
-constexpr double OwnerCredit = 0.7;     // of a prefix's blocks, see cost()
-constexpr double BatchPart = 0.75;      // of an upstream's slots
-constexpr double PriceMs = 20;          // cost of one price unit an hour
-constexpr double RemoteMs = 15;         // cost of another data centre
+constexpr double PrefillMsPerBlock = 8;   // cost of an uncached block
+constexpr double DecodePressureMs = 3;    // cost of one more stream
+constexpr double OwnerCredit = 0.7;       // of a prefix's blocks, see cost()
+constexpr double BatchPart = 0.75;        // of an upstream's slots
+constexpr double PriceMs = 20;            // cost of one price unit an hour
+constexpr double RemoteMs = 15;           // cost of another data centre
+constexpr double PrefillTokensPerMs = 80; // of a large engine
+constexpr double BacklogShare = 0.6;      // of an objective, for prompts ahead
+constexpr double ReadAgainWeight = 3;     // reading costs more than its time
+constexpr double LoadShare = 0.1;         // of a full engine's slowing down
+constexpr double PlainQueueShare = 1.0;   // waiting, by places of a service
 
 std::string poolKey(const Call &C, std::string_view Version) {
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return Version.empty() ? fmt::format("s|{}", C.Lane_)
+                           : fmt::format("s|{}|{}", C.Lane_, Version);
   if (C.Request_.Kind_ == CallKind::Service)
     return fmt::format("s|{}", C.Request_.Route_);
   return fmt::format("m|{}|{}", C.Request_.Model_, Version);
@@ -44,6 +52,19 @@
   }
 }
 
+/// A service's hosts are in one pool, and while a move concerns it in those of
+/// old and new hosts as well.
+void addServiceKeys(const State &S, const Upstream &U,
+                    std::vector<std::string> &Keys) {
+  Keys.push_back(fmt::format("s|{}", U.Row_.Service_));
+  const auto Found = S.Release_.Moves_.find(U.Row_.Service_);
+  if (Found == S.Release_.Moves_.end())
+    return;
+  const bool New = U.Row_.Version_ == Found->second.Row_.To_;
+  Keys.push_back(
+      fmt::format("s|{}|{}", U.Row_.Service_, New ? NewHosts : OldHosts));
+}
+
 /// Pools list every upstream that is not leaving, by what it serves; each is
 /// kept twice, for its own data centre and for all.
 void rebuildPools(State &S) {
@@ -54,7 +75,7 @@
       continue;
     std::vector<std::string> Keys;
     if (U.Row_.Kind_ == UpstreamKind::Service)
-      Keys.push_back(fmt::format("s|{}", U.Row_.Service_));
+      addServiceKeys(S, U, Keys);
     for (const LoadedVersion &Loaded : U.Loaded_)
       Keys.push_back(fmt::format("m|{}|{}", Loaded.Model_, Loaded.Version_));
     for (const std::string &Key : Keys) {
@@ -67,18 +88,37 @@
   S.PoolsChanged_ = false;
 }
 
+/// Prompts at the upstream that it has yet to read, in ms of its time.
+double prefillBacklog(const Upstream &U) {
+  return U.PrefillMs_ + U.OthersPrefillMs_;
+}
+
 /// Requests at the upstream now: this process's own, which it knows, and those
 /// of others by the upstream's reports, which lag and are smoothed.
 int estimatedLoad(const Upstream &U) {
   return U.InFlight_ + static_cast<int>(std::lround(U.OthersLoad_));
 }
 
+/// A routed call goes where its first event can be in time; plain services
+/// have no prompts to wait for, only places.
+bool hasRoomFor(const Upstream &U, const Call &C) {
+  const double Bound = static_cast<double>(C.Objective_) * BacklogShare;
+  const bool Batching = !C.Blocks_.empty();
+  if (Batching && prefillBacklog(U) > Bound)
+    return false;
+  const int Places =
+      U.Slots_ + static_cast<int>(Batching ? 0 : U.Slots_ * PlainQueueShare);
+  return U.Slots_ == 0 || estimatedLoad(U) < std::max(1, Places);
+}
+
 bool hasRoom(const State &S, const Upstream &U, const Call &C, int Index) {
   if (!isUsable(S, U) || U.InFlight_ >= static_cast<int>(U.Limit_) ||
       C.TriedUpstreams_.count(Index) > 0)
     return false;
+  if (C.Request_.Kind_ == CallKind::Routed)
+    return hasRoomFor(U, C);
   if (C.Request_.Priority_ == Priority::Interactive || U.Slots_ == 0 ||
-      isBatchDue(S))
+      isBatchDue(S, C.Lane_))
     return true;
   // Batch leaves slots free, so that interactive requests need not wait for
   // one: a running stream is not taken off. Reports lag, so each process keeps
@@ -101,20 +141,47 @@
   return 0;
 }
 
+/// Time to read a prompt at the upstream that shares its leading parts with
+/// earlier ones: all but the last part is thought to be cached.
+double ownerPrefill(const Call &C) {
+  const std::size_t Parts = C.BlockTokens_.size();
+  if (Parts < 2)
+    return static_cast<double>(C.Request_.PromptTokens_) / PrefillTokensPerMs;
+  const std::int64_t Own =
+      C.BlockTokens_[Parts - 1] - C.BlockTokens_[Parts - 2];
+  const auto Shared = static_cast<double>(C.BlockTokens_[Parts - 2]);
+  return (static_cast<double>(Own) + Shared * (1 - OwnerCredit)) /
+         PrefillTokensPerMs;
+}
+
+/// Hash by which a prompt's owner is found: that of its deepest shared part.
+std::uint64_t ownerHash(const Call &C) {
+  if (C.Request_.Kind_ == CallKind::Routed && C.Blocks_.size() >= 2)
+    return C.Blocks_[C.Blocks_.size() - 2];
+  return C.Blocks_.front();
+}
+
 /// Expected first-token time in ms, plus what the host's price is worth.
 /// @param Owner the upstream that all processes choose for a new prefix; other
 ///        processes may have filled its cache already
 double cost(const State &S, const Call &C, int Index, int Owner) {
   const Upstream &U = S.Upstreams_[Index];
-  const auto Blocks = static_cast<double>(C.Blocks_.size());
-  double Cached = static_cast<double>(cachedBlocks(S, C, Index));
-  if (Index == Owner)
-    Cached = std::max(Cached, OwnerCredit * Blocks);
   const double Remote =
       U.Row_.DataCentre_ == S.Settings_.DataCentre_ ? 0 : RemoteMs;
   const int Load = estimatedLoad(U);
   const int Slots = U.Slots_ > 0 ? U.Slots_ : static_cast<int>(U.Limit_);
   const double Queue = std::max(0, Load + 1 - Slots) * U.ServiceMs_ / Slots;
+  if (C.Request_.Kind_ == CallKind::Routed) {
+    double Read = expectedPrefill(S, C, Index);
+    if (Index == Owner)
+      Read = std::min(Read, ownerPrefill(C));
+    return Read * ReadAgainWeight + prefillBacklog(U) + Queue +
+           Load * U.ServiceMs_ * LoadShare / Slots + Remote;
+  }
+  const auto Blocks = static_cast<double>(C.Blocks_.size());
+  double Cached = static_cast<double>(cachedBlocks(S, C, Index));
+  if (Index == Owner)
+    Cached = std::max(Cached, OwnerCredit * Blocks);
   return (Blocks - Cached) * PrefillMsPerBlock + Queue +
          Load * DecodePressureMs + U.Row_.Price_ * PriceMs + Remote;
 }
@@ -181,6 +248,17 @@
   return -1;
 }
 
+/// @return true if a routed call may go to the upstream
+bool isIn(const State &S, const Upstream &U, const Call &C,
+          std::string_view Version) {
+  if (U.Row_.Service_ != C.Lane_ || Version.empty())
+    return U.Row_.Service_ == C.Lane_;
+  const auto Found = S.Release_.Moves_.find(C.Lane_);
+  const bool New = Found != S.Release_.Moves_.end() &&
+                   U.Row_.Version_ == Found->second.Row_.To_;
+  return New == (Version == NewHosts);
+}
+
 template <typename Less> int bestOf(std::span<const int> Indices, Less IsLess) {
   if (Indices.empty())
     return -1;
@@ -201,12 +279,12 @@
     if (!C_.Blocks_.empty()) {
       // A prefix has one owner for all data centres: computing it again costs
       // more than the way there.
-      addByRing(All_, C_.Blocks_.front(), 1, Few);
+      addByRing(All_, ownerHash(C_), 1, Few);
       Owner = Few.all().empty() ? -1 : Few.all()[0];
       addHolders(
           S_, C_, [&](const Upstream &U) { return serves(U); }, Few);
     }
-    addByRing(P_, C_.Blocks_.empty() ? nextRandom(S_) : C_.Blocks_.front(),
+    addByRing(P_, C_.Blocks_.empty() ? nextRandom(S_) : ownerHash(C_),
               AffinityCandidates, Few);
     for (std::size_t I = 0; I < RandomCandidates; ++I)
       Few.add(P_.Members_[nextRandom(S_) % P_.Members_.size()]);
@@ -217,6 +295,8 @@
   }
 
   bool serves(const Upstream &U) const {
+    if (C_.Request_.Kind_ == CallKind::Routed)
+      return isIn(S_, U, C_, Version_);
     return C_.Request_.Kind_ == CallKind::Service
                ? U.Row_.Service_ == C_.Request_.Route_
                : U.Loaded_.count({C_.Request_.Model_, std::string(Version_)}) >
@@ -274,6 +354,26 @@
   return Blocks;
 }
 
+std::vector<std::uint64_t> partBlocks(std::span<const PromptPart> Parts) {
+  std::vector<std::uint64_t> Blocks;
+  std::uint64_t Hash = 0;
+  for (const PromptPart &Part : Parts) {
+    Hash = XXH3_64bits_withSeed(Part.Id_.data(), Part.Id_.size(), Hash);
+    Blocks.push_back(Hash);
+  }
+  return Blocks;
+}
+
+double expectedPrefill(const State &S, const Call &C, int Index) {
+  if (C.BlockTokens_.empty())
+    return 0;
+  const std::size_t Cached = cachedBlocks(S, C, Index);
+  const std::int64_t Known = Cached == 0 ? 0 : C.BlockTokens_[Cached - 1];
+  const std::int64_t Whole = C.BlockTokens_.back();
+  return static_cast<double>(std::max<std::int64_t>(0, Whole - Known)) /
+         PrefillTokensPerMs;
+}
+
 bool isUsable(const State &S, const Upstream &U) {
   return !U.Leaving_ && U.Listed_ && S.Now_ >= U.AvoidUntil_;
 }
--- a/src/router.h
+++ b/src/router.h
@@ -16,6 +16,17 @@
 /// @return hash of blocks 0..i for each i, at most a fixed number
 std::vector<std::uint64_t> prefixBlocks(std::string_view Prompt);
 
+/// Versions by which routed calls choose while a move concerns their service.
+constexpr std::string_view OldHosts = "old";
+constexpr std::string_view NewHosts = "new";
+
+/// Hashes of a prompt's leading parts, one for each part.
+std::vector<std::uint64_t> partBlocks(std::span<const PromptPart> Parts);
+
+/// Time that an upstream is thought to need for what it has not cached of a
+/// prompt, in ms.
+double expectedPrefill(const State &S, const Call &C, int Index);
+
 /// Picks an upstream with room.
 /// @param S state; the policy's own counters may change
 /// @param C call to place
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -9,11 +9,15 @@
 #include "metrics.h"
 #include "peers.h"
 #include "platform.h"
+#include "platform/adapter.h"
+#include "record.h"
 
 #include <chrono>
 #include <csignal>
 #include <deque>
+#include <fstream>
 #include <random>
+#include <sstream>
 #include <sys/resource.h>
 
 namespace endivewharf {
@@ -21,6 +25,7 @@
 namespace {
 
 constexpr auto TickPeriod = std::chrono::milliseconds(50);
+constexpr auto FilePoll = std::chrono::seconds(1);
 constexpr auto ExitPoll = std::chrono::milliseconds(20);
 constexpr auto ExitGrace = std::chrono::seconds(2); // for the last writes
 constexpr rlim_t WantedFiles = 65536;
@@ -44,53 +49,119 @@
   setrlimit(RLIMIT_NOFILE, &Limit);
 }
 
+std::string fileText(const std::string &Path) {
+  std::ifstream Stream(Path);
+  std::ostringstream Text;
+  Text << Stream.rdbuf();
+  return Text.str();
+}
+
 class EntryProcess {
 public:
-  explicit EntryProcess(const Settings &From)
-      : Settings_(From), State_(makeState(Settings_, newIncarnation())),
-        Client_(Io_), Attempts_(Client_, sink(), From.Limits_.MaxAnswer_),
+  EntryProcess(const Settings &From, std::string SettingsPath)
+      : Settings_(From), SettingsPath_(std::move(SettingsPath)),
+        State_(makeState(Settings_, newIncarnation())), Client_(Io_),
+        Attempts_(Client_, sink(), From.Limits_.MaxAnswer_),
         Platform_(Client_, Settings_, sink()),
         Http_(Io_, Settings_, sink(), views()),
         Peers_(Io_, Settings_, State_.Self_,
                [this](PeerEnvelope E) { submit(PeerReceived{std::move(E)}); }),
-        TickTimer_(Io_), ExitTimer_(Io_), Signals_(Io_, SIGTERM, SIGINT) {}
+        TickTimer_(Io_), ExitTimer_(Io_), FileTimer_(Io_),
+        Signals_(Io_, SIGTERM, SIGINT, SIGHUP) {
+    if (Settings_.onPlatform())
+      Adapter_ =
+          std::make_unique<platform::Adapter>(Io_, Client_, Settings_, sink());
+  }
 
   int run() {
     if (!Peers_.open()) {
       log(LogLevel::Error, "listen_failed", {{"which", "peers"}});
       return ExitFailed;
     }
-    Http_.open([this](const std::string &Why) {
+    const auto Failed = [this](const std::string &Why) {
       log(LogLevel::Error, "listen_failed", {{"reason", Why}});
       ExitCode_ = ExitFailed;
       Io_.stop();
-    });
+    };
+    Http_.open(Failed);
+    if (Adapter_)
+      Adapter_->Door_.open(Failed);
     log(LogLevel::Info, "started",
         {{"listen", format(Settings_.Listen_)},
-         {"data_centre", Settings_.DataCentre_}});
+         {"data_centre", Settings_.DataCentre_},
+         {"incarnation", std::to_string(State_.Self_.Incarnation_)}});
+    SettingsText_ = fileText(SettingsPath_);
+    watchSettings();
     waitForSignal();
     tick();
     Io_.run();
+    log(LogLevel::Info, "exiting", {});
+    flushLog();
     return ExitCode_;
   }
 
   // Effects that the HTTP edge does not carry out.
-  void operator()(const StartAttempt &E) { Attempts_.start(E); }
-  void operator()(const CancelAttempt &E) { Attempts_.cancel(E); }
+  void operator()(const StartAttempt &E) {
+    if (E.Kind_ == CallKind::Routed)
+      Adapter_->Upstreams_.start(E);
+    else
+      Attempts_.start(E);
+  }
+  void operator()(const CancelAttempt &E) {
+    Attempts_.cancel(E);
+    if (Adapter_)
+      Adapter_->Upstreams_.cancel(E);
+  }
+  void operator()(const KnowPeer &E) { Peers_.know(E); }
+  void operator()(const ReadOperator &E) { Adapter_->Store_.readOperators(E); }
+  void operator()(const WriteMoveState &E) {
+    Adapter_->Store_.writeMoveState(E);
+  }
+  void operator()(const OrderHosts &E) { Adapter_->Duties_.order(E); }
+  void operator()(const ReportUsage &E) { Adapter_->Duties_.report(E); }
   void operator()(const SendToPeer &E) { Peers_.send(E); }
   void operator()(const ReconnectPeer &E) { Peers_.reconnect(E.Peer_); }
-  void operator()(const ReadLog &E) { Platform_.readLog(E); }
-  void operator()(const AppendToLog &E) { Platform_.append(E); }
-  void operator()(const ReadHosts &) { Platform_.readHosts(); }
+  void operator()(const ReadLog &E) {
+    if (Adapter_)
+      Adapter_->Store_.readOwn(E);
+    else
+      Platform_.readLog(E);
+  }
+  void operator()(const AppendToLog &E) {
+    if (Adapter_)
+      Adapter_->Store_.append(E);
+    else
+      Platform_.append(E);
+  }
+  void operator()(const ReadHosts &) {
+    if (Adapter_)
+      Adapter_->Store_.readHosts();
+    else
+      Platform_.readHosts();
+  }
   void operator()(const ReadNotices &) { Platform_.readNotices(); }
   void operator()(const ProbeUpstream &E) { Platform_.probe(E); }
   void operator()(const OrderLoad &E) { Platform_.order(E); }
   void operator()(const WriteLog &E) {
     log(E.Warning_ ? LogLevel::Warning : LogLevel::Info, E.Event_, E.Fields_);
   }
-  void operator()(const CloseListener &) { Http_.closeListener(); }
+  void operator()(const CloseListener &) {
+    if (Adapter_)
+      Adapter_->Door_.closeListener();
+    else
+      Http_.closeListener();
+  }
   void operator()(const ExitProcess &) { exitWhenWritten(monotonicNow()); }
-  template <typename E> void operator()(const E &Effect) { Http_(Effect); }
+  /// Answers to callers: on the platform all through its door.
+  template <typename E> void operator()(const E &Effect) {
+    if constexpr (std::is_invocable_v<platform::Door &, const E &>)
+      if (Adapter_) {
+        Adapter_->Door_(Effect);
+        return;
+      }
+    if constexpr (std::is_invocable_v<HttpEdge &, const E &>)
+      Http_(Effect);
+  }
 
 private:
   EventSink sink() {
@@ -130,6 +201,7 @@
 
   void tick() {
     submit(Tick{});
+    flushLog();
     TickTimer_.expires_after(TickPeriod);
     TickTimer_.async_wait([this](const asio::error_code &Error) {
       if (!Error)
@@ -138,18 +210,49 @@
   }
 
   void waitForSignal() {
-    Signals_.async_wait([this](const asio::error_code &Error, int) {
+    Signals_.async_wait([this](const asio::error_code &Error, int Number) {
       if (Error)
         return;
-      submit(StopRequested{0});
+      if (Number == SIGHUP) {
+        rereadSettings();
+      } else {
+        if (Adapter_)
+          Adapter_->Door_.beginClosing();
+        submit(StopRequested{0});
+      }
       waitForSignal();
     });
   }
 
+  /// The file may change without a signal.
+  void watchSettings() {
+    FileTimer_.expires_after(FilePoll);
+    FileTimer_.async_wait([this](const asio::error_code &Error) {
+      if (Error)
+        return;
+      if (fileText(SettingsPath_) != SettingsText_)
+        rereadSettings();
+      watchSettings();
+    });
+  }
+
+  void rereadSettings() {
+    SettingsText_ = fileText(SettingsPath_);
+    const auto Read = readSettings(SettingsPath_);
+    if (Read) {
+      log(LogLevel::Info, "settings_read", {{"file", SettingsPath_}});
+      submit(SettingsChanged{*Read});
+      return;
+    }
+    for (const FileMistake &Mistake : Read.error())
+      log(LogLevel::Warning, "settings_kept", {{"reason", describe(Mistake)}});
+  }
+
   void exitWhenWritten(Millis Since) {
     const bool Patient =
         std::chrono::milliseconds(monotonicNow() - Since) < ExitGrace;
-    if (Http_.isIdle() || !Patient) {
+    const bool Idle = Http_.isIdle() && (!Adapter_ || Adapter_->Door_.isIdle());
+    if (Idle || !Patient) {
       Io_.stop();
       return;
     }
@@ -161,10 +264,12 @@
   }
 
   void log(LogLevel Level, std::string_view Event, const LogFields &Fields) {
-    writeLogLine(Level, Settings_.Name_, Event, Fields);
+    writeLogLine(Level, Event, Fields);
   }
 
   Settings Settings_;
+  std::string SettingsPath_;
+  std::string SettingsText_;
   asio::io_context Io_{1};
   std::mt19937_64 Random_{std::random_device{}()};
   State State_;
@@ -176,18 +281,21 @@
   PlatformClient Platform_;
   HttpEdge Http_;
   PeerLinks Peers_;
+  std::unique_ptr<platform::Adapter> Adapter_; ///< Null: our own interface.
   asio::steady_timer TickTimer_;
   asio::steady_timer ExitTimer_;
+  asio::steady_timer FileTimer_;
   asio::signal_set Signals_;
 };
 
 } // namespace
 
-int serve(const Settings &From) {
+int serve(const Settings &From, const std::string &Path) {
   raiseFileLimit();
   curl_global_init(CURL_GLOBAL_DEFAULT);
   std::signal(SIGPIPE, SIG_IGN);
-  EntryProcess Process(From);
+  openLog(From.Name_);
+  EntryProcess Process(From, Path);
   return Process.run();
 }
 
--- a/src/server.h
+++ b/src/server.h
@@ -3,11 +3,14 @@
 
 #include "settings.h"
 
+#include <string>
+
 namespace endivewharf {
 
 /// Serves until a stop has been asked for and everything is answered.
 /// @param From checked settings
+/// @param Path file that they came from, which may change
 /// @return the process's exit code
-int serve(const Settings &From);
+int serve(const Settings &From, const std::string &Path);
 
 } // namespace endivewharf
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -75,8 +75,48 @@
   };
 }
 
+KeyReader boundTime(Millis BoundSettings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    const auto Parsed = parseDuration(Value);
+    if (!Parsed || *Parsed == 0)
+      return "a duration above 0, such as 250ms, 3s or 2m";
+    Target.Bounds_.*Field = *Parsed;
+    return {};
+  };
+}
+
+KeyReader boundNumber(double BoundSettings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    double Number = 0;
+    const auto *End = Value.data() + Value.size();
+    const auto Result = std::from_chars(Value.data(), End, Number);
+    if (Result.ec != std::errc() || Result.ptr != End || Number < 0)
+      return "a number, 0 or above";
+    Target.Bounds_.*Field = Number;
+    return {};
+  };
+}
+
+/// Addresses separated by commas.
+KeyReader addresses(std::vector<SocketAddress> Settings::*Field) {
+  return [Field](Settings &Target, std::string_view Value) -> std::string {
+    std::vector<SocketAddress> All;
+    while (!Value.empty()) {
+      const auto Comma = Value.find(',');
+      const auto Parsed = parseAddress(Value.substr(0, Comma));
+      if (!Parsed)
+        return "IP numbers and ports, separated by commas";
+      All.push_back(*Parsed);
+      Value = Comma == std::string_view::npos ? "" : Value.substr(Comma + 1);
+    }
+    Target.*Field = std::move(All);
+    return {};
+  };
+}
+
 const std::vector<KeyRule> &rules() {
   using L = LimitSettings;
+  using B = BoundSettings;
   static const std::vector<KeyRule> Rules = {
       {"entry", "name", "name of this process, unique among its peers",
        text(&Settings::Name_)},
@@ -92,6 +132,11 @@
       {"platform", "hosts", "URL of the host list",
        text(&Settings::HostListUrl_)},
       {"platform", "cloud", "URL of the cloud API", text(&Settings::CloudUrl_)},
+      {"platform", "store",
+       "URL of the platform's store; it stands in for log and hosts",
+       text(&Settings::StoreUrl_)},
+      {"platform", "seeds", "addresses where other entry processes may be",
+       addresses(&Settings::Seeds_)},
       {"limits", "progress", "longest silence within a stream",
        duration(&L::ProgressLimit_)},
       {"limits", "first_token", "longest wait for a first token",
@@ -101,6 +146,10 @@
       {"limits", "time_limit", "time limit of a request that names none",
        duration(&L::DefaultTimeLimit_)},
       {"limits", "drain", "longest planned stop", duration(&L::DrainLimit_)},
+      {"limits", "stop_margin", "part of the drain time kept in reserve",
+       duration(&L::StopMargin_)},
+      {"limits", "unready", "time for the balancer to notice a planned stop",
+       duration(&L::UnreadyTime_)},
       {"limits", "lease", "length of the control lease",
        duration(&L::LeaseTime_)},
       {"limits", "key_window", "how long an idempotency key is remembered",
@@ -112,6 +161,22 @@
        count(&L::QueueLength_)},
       {"limits", "upstream_slots", "first guess of an upstream's concurrency",
        count(&L::UpstreamSlots_)},
+      {"bounds", "retry_share", "further attempts, as a share of requests",
+       boundNumber(&B::RetryShare_)},
+      {"bounds", "retry_window", "in which further attempts are counted",
+       boundTime(&B::RetryWindow_)},
+      {"bounds", "retry_slack", "further attempts of all processes besides",
+       boundNumber(&B::RetrySlack_)},
+      {"bounds", "quota_window", "in which an account's units are counted",
+       boundTime(&B::QuotaWindow_)},
+      {"bounds", "usage_window", "time that one usage report covers",
+       boundTime(&B::UsageWindow_)},
+      {"bounds", "usage_limit", "time after a window to report it in",
+       boundTime(&B::UsageLimit_)},
+      {"bounds", "canary_share", "share of requests for an unproved version",
+       boundNumber(&B::CanaryShare_)},
+      {"bounds", "canary_slack", "requests for an unproved version besides",
+       boundNumber(&B::CanarySlack_)},
   };
   return Rules;
 }
@@ -161,13 +226,17 @@
   }
   const std::vector<std::string> Known = keysOf(Section.Kind_);
   if (Known.empty()) {
-    Mistakes_.add(Section, Section.Line_, "",
-                  fmt::format("a known section; nearest: {}",
-                              nearestWord(Section.Kind_, {"entry", "platform",
-                                                          "limits", "peer"})));
+    Mistakes_.add(
+        Section, Section.Line_, "",
+        fmt::format("a known section; nearest: {}",
+                    nearestWord(Section.Kind_, {"entry", "platform", "limits",
+                                                "bounds", "peer"})));
     return;
   }
   for (const auto &Entry : Section.Entries_) {
+    // A template may have had nothing to put here: the default holds.
+    if (Entry.Value_.empty())
+      continue;
     const auto Rule =
         std::find_if(rules().begin(), rules().end(), [&](const KeyRule &R) {
           return R.Section_ == Section.Kind_ && R.Key_ == Entry.Key_;
@@ -214,6 +283,11 @@
   const std::map<std::string, std::string> Urls = {
       {"log", Result_.LogUrl_}, {"hosts", Result_.HostListUrl_}};
   const IniSection Platform{"platform", "", 0, {}};
+  if (Result_.onPlatform()) {
+    if (Result_.StoreUrl_.rfind("http", 0) != 0)
+      Mistakes_.add(Platform, 0, "store", "a URL that starts with http");
+    return;
+  }
   for (const auto &[Key, Value] : Urls)
     if (Value.rfind("http", 0) != 0)
       Mistakes_.add(Platform, 0, Key, "a URL that starts with http");
--- a/src/settings.h
+++ b/src/settings.h
@@ -31,6 +31,8 @@
   Millis ServiceLimit_ = 5000;     ///< Longest wait for a plain service.
   Millis DefaultTimeLimit_ = 60000;
   Millis DrainLimit_ = 30000; ///< Longest planned stop.
+  Millis StopMargin_ = 0;     ///< Of it that is kept in reserve.
+  Millis UnreadyTime_ = 500;  ///< For the balancer to notice a stop.
   Millis LeaseTime_ = 3000;
   Millis KeyWindow_ = 3600000; ///< How long an idempotency key is remembered.
   std::int64_t MaxBody_ = 4 << 20;
@@ -39,6 +41,18 @@
   int UpstreamSlots_ = 16; ///< First guess of an upstream's concurrency.
 };
 
+/// What the operators' platform allows and asks for; see platform/.
+struct BoundSettings {
+  double RetryShare_ = 0.1;    ///< Further attempts, as a share of requests.
+  Millis RetryWindow_ = 10000; ///< In which they are counted.
+  double RetrySlack_ = 20;     ///< Further attempts of all processes besides.
+  Millis QuotaWindow_ = 8000;  ///< In which an account's units are counted.
+  Millis UsageWindow_ = 5000;  ///< Of one usage report.
+  Millis UsageLimit_ = 10000;  ///< After the window, until it has to be there.
+  double CanaryShare_ = 0.1;   ///< Of requests to a version not yet proved.
+  double CanarySlack_ = 50;    ///< Requests to it besides.
+};
+
 struct Settings {
   std::string Name_;
   std::string DataCentre_;
@@ -50,7 +64,13 @@
   std::string LogUrl_;
   std::string HostListUrl_;
   std::string CloudUrl_;
+  std::string StoreUrl_; ///< Store of the operators' platform; empty: none.
+  std::vector<SocketAddress> Seeds_; ///< Where other processes may be.
   LimitSettings Limits_;
+  BoundSettings Bounds_;
+
+  /// @return true if the operators' platform is served, not our own interface
+  bool onPlatform() const { return !StoreUrl_.empty(); }
 };
 
 /// Builds settings section by section and collects every mistake.
--- a/src/state.h
+++ b/src/state.h
@@ -36,8 +36,11 @@
   Millis ProbedAt_ = 0;
   int InFlightAtProbe_ = 0;
   bool Probing_ = false;
-  Millis OrderedAt_ = 0;     ///< Last order to load a version.
-  double FirstTokenMs_ = 50; ///< Moving average, with an empty cache.
+  Millis OrderedAt_ = 0;       ///< Last order to load a version.
+  double FirstTokenMs_ = 50;   ///< Moving average, with an empty cache.
+  double PrefillMs_ = 0;       ///< Of own attempts without a first event.
+  double OthersPrefillMs_ = 0; ///< The same, as others have told.
+  Millis UnlistedAt_ = 0;      ///< When it was first missing; 0: it is listed.
 };
 
 /// Upstreams that serve one model version or service, with a hash ring.
@@ -108,6 +111,20 @@
   std::vector<std::uint64_t> Blocks_; ///< Hashes of the prompt's prefixes.
   int PeersAsked_ = 0;
   Millis MovedAt_ = 0;
+
+  // Of routed calls only.
+  std::string Lane_; ///< Service that it waits for; empty: our own interface.
+  Repeat Repeat_ = Repeat::Never;
+  bool Events_ = false;     ///< The answer is a stream of events.
+  bool IndexKnown_ = false; ///< `NextIndex_` is the next event's.
+  int MaxUpstreams_ = 1;    ///< Upstreams at which it may run.
+  int Rank_ = 0;            ///< Lower ones go first.
+  Millis Objective_ = 0;    ///< For the answer or the first event.
+  Millis QueuedAt_ = 0;     ///< Since when it waits.
+  double Units_ = 0;        ///< Charged to the account's quota.
+  std::vector<std::int64_t> BlockTokens_; ///< Of the prompt up to each block.
+  int HeadStatus_ = 0; ///< Of the first upstream's answer, until it is sent.
+  Headers Head_;
 };
 
 /// One try at one upstream.
@@ -121,12 +138,14 @@
   Millis StartedAt_ = 0;
   Millis FirstTokenAt_ = 0;
   Millis LastProgressAt_ = 0;
+  double PrefillMs_ = 0; ///< Expected for what the upstream has not cached.
 };
 
 // --- Admission ---
 
-/// Calls of one account that wait, and its long-term rate.
+/// Calls of one account that wait in one lane, and its long-term rate.
 struct AccountState {
+  std::string Lane_;
   std::deque<CallId> Queues_[2]; ///< By priority.
   double Served_ = 0;  ///< Work served, divided by the account's weight.
   double Tokens_ = -1; ///< Rate limit's bucket; -1: not yet filled.
@@ -134,8 +153,9 @@
   int InFlight_ = 0;
 };
 
-struct AdmissionState {
-  std::map<std::string, AccountState> Accounts_;
+/// Calls that wait for the same upstreams: those of one service, or all of our
+/// own interface.
+struct LaneState {
   int Waiting_[2] = {0, 0}; ///< By priority.
   int SinceBatch_ = 0; ///< Interactive calls served since the last batch call.
   Millis BatchServedAt_ = 0;
@@ -145,6 +165,11 @@
   Millis WindowStart_ = 0;
   double ServiceMs_[2] = {300, 300}; ///< From dispatch to answer.
   double RetryBudget_ = 10;
+};
+
+struct AdmissionState {
+  std::map<std::string, AccountState> Accounts_; ///< By queueName().
+  std::map<std::string, LaneState> Lanes_;
   LogOffset CheckedConfig_ = NoOffset; ///< Waiting calls were checked against.
 };
 
@@ -165,6 +190,17 @@
   std::vector<LogRecord> Pending_; ///< Records in the append under way.
 };
 
+/// Reading of what operators write, where the platform keeps it apart from our
+/// own records.
+struct OperatorState {
+  LogOffset Next_ = 0;
+  bool Reading_ = false;
+  bool Available_ = false;
+  bool SawTail_ = false;
+  Millis RetryAt_ = 0;
+  Millis FreshAt_ = -1; ///< End of the last successful read.
+};
+
 struct ConfigState {
   LogOffset Version_ = NoOffset;
   std::string Text_;
@@ -219,6 +255,9 @@
   double Credit_ = 0; ///< Requests for the new version that are due.
   std::int64_t NewAttempts_ = 0;
   bool LateReported_ = false;
+  std::string StateSent_;    ///< Last state written for operators.
+  std::string StateWritten_; ///< The same, once it was acknowledged.
+  Millis StateSentAt_ = 0;
   double PendingShare_ = -1; ///< Share asked for and not yet in the log.
   Millis PendingSince_ = 0;
 };
@@ -244,6 +283,8 @@
   /// By note, model, version, route, data centre and observer.
   std::map<std::string, EvidenceRow> Evidence_;
   std::map<std::pair<LogOffset, std::string>, BadVersionFact> Bad_;
+  /// Shares by note and model, also of moves that are not known yet.
+  std::map<std::pair<LogOffset, std::string>, double> Shares_;
   /// Windows that are over, summed up; keyed as above but without window.
   std::map<std::string, EvidenceRow> Folded_;
   std::int64_t LastWindow_ = 0;
@@ -252,6 +293,41 @@
   bool EvidenceChanged_ = false;
 };
 
+// --- Quotas and usage ---
+
+/// One account's quota as this process sees it.
+struct QuotaState {
+  double Units_ = -1; ///< Left in this process's bucket; -1: not yet filled.
+  Millis FilledAt_ = 0;
+  double Demand_ = 0;    ///< Units asked for here, per second, averaged.
+  double Asked_ = 0;     ///< Since the average was taken.
+  double Share_ = 0;     ///< This process's part of the account's rate.
+  double SafeShare_ = 0; ///< The same, when all others were last heard from.
+};
+
+struct QuotaTable {
+  std::map<std::string, QuotaState> Accounts_;
+  Millis UpdatedAt_ = 0;
+};
+
+/// Requests that began to run, by account.
+using UsageCounts = std::map<std::string, std::int64_t>;
+
+struct UsageState {
+  std::map<std::int64_t, UsageCounts> Own_;     ///< By window.
+  std::map<std::int64_t, UsageCounts> Decided_; ///< As the log has them.
+  std::set<std::int64_t> Asked_;    ///< Windows whose record is on its way.
+  std::set<std::int64_t> Reported_; ///< Windows that the platform has taken.
+  std::int64_t Reporting_ = -1;     ///< Window of the report on its way.
+  Millis SentAt_ = 0;
+  Millis AskedAt_ = 0;
+  std::int64_t FirstWindow_ = 0; ///< Of this life; earlier ones are others'.
+  std::size_t ClockDoubts_ = 0;  ///< Peers' times in a row that differ.
+  Millis SumsSentAt_ = 0;
+  std::int64_t ClockOffset_ = 0; ///< Unix time less the monotonic clock.
+  bool ClockKnown_ = false;
+};
+
 // --- Membership ---
 
 struct Member {
@@ -263,10 +339,16 @@
   std::uint64_t Acknowledged_ = 0;
   std::uint64_t LinkSince_ = 0; ///< Sequence at the link's last replacement.
   bool Alive_ = false;
+  /// What it said last of its load, accounts and usage.
+  SumsMessage Sums_;
+  Millis SumsAt_ = -1;
 };
 
 struct MembershipState {
-  std::map<std::string, Member> Members_;                     ///< By name.
+  std::map<std::string, Member> Members_; ///< By name.
+  std::size_t Largest_ = 1; ///< Most living processes at once, with this one.
+  Millis GreetedAt_ = 0;
+  bool Joined_ = false; ///< This life's address is in the log.
   std::unordered_map<std::uint32_t, std::string> NameByLife_; ///< By hash.
   std::uint64_t Heartbeat_ = 0;
   Millis DigestAt_ = 0;
@@ -322,7 +404,10 @@
   HeldCalls Held_;
 
   AdmissionState Admission_;
+  QuotaTable Quotas_;
+  UsageState Usage_;
   LogState Log_;
+  OperatorState Operator_;
   ConfigState Config_;
   ControlState Control_;
   LeaseState Lease_;
@@ -336,6 +421,11 @@
   bool Ready_ = false;
 };
 
+/// Service or model whose moves to other versions concern a call.
+inline const std::string &moveKey(const Call &C) {
+  return C.Lane_.empty() ? C.Request_.Model_ : C.Lane_;
+}
+
 /// Adds to a counter that metrics show.
 inline void count(State &S, const char *Name, std::int64_t Amount = 1) {
   S.Counters_.Values_[Name] += Amount;
--- /dev/null
+++ b/src/sums.cpp
@@ -0,0 +1,87 @@
+// Sums replace each other, so a lost message costs nothing but its age.
+#include "sums.h"
+
+#include "usage.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr Millis SumsPeriod = 250;       // ms between two messages
+constexpr Millis LargeSumsPeriod = 1000; // ms, in a large group
+constexpr std::size_t LargeGroup = 8;    // processes
+constexpr Millis OldLoads = 2000;        // ms; older ones say nothing
+constexpr std::int64_t UsageWindowsTold = 4;
+
+std::uint32_t upstreamHash(const Upstream &U) {
+  const std::string &Name = U.Row_.Host_.Name_;
+  return static_cast<std::uint32_t>(XXH3_64bits_withSeed(
+      Name.data(), Name.size(), U.Row_.Host_.Incarnation_));
+}
+
+SumsMessage makeSums(const State &S) {
+  SumsMessage M;
+  for (const Upstream &U : S.Upstreams_)
+    if (U.InFlight_ > 0)
+      M.Loads_.push_back(
+          {upstreamHash(U), U.InFlight_, static_cast<int>(U.PrefillMs_)});
+  for (const auto &[Name, Q] : S.Quotas_.Accounts_)
+    if (Q.Demand_ >= 1)
+      M.Demands_.push_back({Name, Q.Demand_});
+  const std::int64_t Window = usageWindow(S);
+  for (const auto &[Number, Counts] : S.Usage_.Own_)
+    if (Number > Window - UsageWindowsTold)
+      for (const auto &[Account, Count] : Counts)
+        M.Usage_.push_back({Number, Account, Count});
+  M.UnixMs_ = trueUnixMs(S);
+  return M;
+}
+
+/// Adds up what the others have under way at each upstream.
+void addOthersLoads(State &S) {
+  std::unordered_map<std::uint32_t, LoadRow> Sums;
+  for (const auto &[Name, M] : S.Membership_.Members_) {
+    if (M.SumsAt_ < 0 || S.Now_ - M.SumsAt_ > OldLoads)
+      continue;
+    for (const LoadRow &Row : M.Sums_.Loads_) {
+      LoadRow &Sum = Sums[Row.Upstream_];
+      Sum.InFlight_ += Row.InFlight_;
+      Sum.PrefillMs_ += Row.PrefillMs_;
+    }
+  }
+  for (Upstream &U : S.Upstreams_) {
+    const auto Found = Sums.find(upstreamHash(U));
+    U.OthersLoad_ = Found == Sums.end() ? 0 : Found->second.InFlight_;
+    U.OthersPrefillMs_ = Found == Sums.end() ? 0 : Found->second.PrefillMs_;
+  }
+}
+
+} // namespace
+
+void onSums(State &S, const std::string &From, const SumsMessage &M) {
+  const auto Found = S.Membership_.Members_.find(From);
+  if (Found == S.Membership_.Members_.end())
+    return; // its digest will come first
+  Found->second.Sums_ = M;
+  Found->second.SumsAt_ = S.Now_;
+  noteClock(S, M.UnixMs_);
+  addOthersLoads(S);
+}
+
+void tickSums(State &S, Effects &Out) {
+  const Millis Period =
+      S.Membership_.Members_.size() > LargeGroup ? LargeSumsPeriod : SumsPeriod;
+  if (S.Now_ - S.Usage_.SumsSentAt_ < Period)
+    return;
+  S.Usage_.SumsSentAt_ = S.Now_;
+  const SumsMessage Sums = makeSums(S);
+  for (const auto &[Name, M] : S.Membership_.Members_)
+    if (M.Alive_)
+      Out.push_back(SendToPeer{Name, Sums});
+  addOthersLoads(S);
+}
+
+} // namespace endivewharf
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -73,6 +73,8 @@
     return "silent";
   case AttemptFailure::Garbage:
     return "garbage";
+  case AttemptFailure::OtherHost:
+    return "other_host";
   case AttemptFailure::Failed:
     break;
   }
--- a/src/types.h
+++ b/src/types.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace endivewharf {
 
@@ -18,8 +19,28 @@
 
 constexpr LogOffset NoOffset = -1;
 
+/// One header of a request or an answer.
+struct Header {
+  std::string Name_;
+  std::string Value_;
+
+  bool operator==(const Header &) const = default;
+};
+
+using Headers = std::vector<Header>;
+
 enum class Priority { Interactive, Batch };
-enum class CallKind { Completion, Service };
+enum class CallKind {
+  Completion, ///< Of our own interface: a prompt for a model.
+  Service,    ///< Of our own interface: a call to a plain service.
+  Routed      ///< By a route of the configuration; its body is opaque.
+};
+/// How often a call may run.
+enum class Repeat {
+  Free,   ///< As often as needed.
+  Resume, ///< A stream that may go on elsewhere after its last event.
+  Never   ///< Once at the most.
+};
 enum class UpstreamKind { Model, Service };
 
 /// What is known of a request that did not succeed.
@@ -52,12 +73,13 @@
 
 /// Why one attempt ended without a whole answer.
 enum class AttemptFailure {
-  NotSent, ///< The connection was refused: no byte of the request was written.
-  Refused, ///< The upstream said that it did not take the request.
-  Broken,  ///< The connection broke after bytes were written.
-  Silent,  ///< No byte within the progress limit.
-  Garbage, ///< The answer broke the protocol or was too long.
-  Failed   ///< The upstream answered with an error of its own.
+  NotSent,  ///< The connection was refused: no byte of the request was written.
+  Refused,  ///< The upstream said that it did not take the request.
+  Broken,   ///< The connection broke after bytes were written.
+  Silent,   ///< No byte within the progress limit.
+  Garbage,  ///< The answer broke the protocol or was too long.
+  Failed,   ///< The upstream answered with an error of its own.
+  OtherHost ///< Another upstream has the address now; it ran nothing.
 };
 
 /// One final answer that is not a success.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -1,8 +1,8 @@
 // Upstream health: evidence in, restrictions out.
 #include "upstreams.h"
 
-#include "core.h"
 #include "membership.h"
+#include "record.h"
 #include "router.h"
 
 #include <algorithm>
@@ -52,10 +52,6 @@
            {{"upstream", Row.Host_.Name_}, {"address", Row.Address_}});
 }
 
-bool isOwnHost(const State &S, const Life &Host) {
-  return Host.Name_ == S.Self_.Name_;
-}
-
 } // namespace
 
 bool isLeaving(const State &S, const Life &Host) {
@@ -101,12 +97,9 @@
 }
 
 void onNoticesRead(State &S, const NoticesRead &E, Effects &Out) {
-  for (const ReclaimNotice &Notice : E.Notices_) {
-    if (isOwnHost(S, Notice.Host_))
-      beginStop(S, Notice.TimeLeft_, "reclaim", Out);
-    else
+  for (const ReclaimNotice &Notice : E.Notices_)
+    if (Notice.Host_.Name_ != S.Self_.Name_)
       markLeaving(S, Notice.Host_, "notice", Out);
-  }
 }
 
 void onProbeEnded(State &S, const ProbeEnded &E, Effects &Out) {
@@ -157,6 +150,10 @@
     // The call waits here for a moment rather than knock again at once.
     U.AvoidUntil_ = std::max(U.AvoidUntil_, S.Now_ + RefusalPause);
     break;
+  case AttemptFailure::OtherHost:
+    // The host that had this address is gone.
+    U.AvoidUntil_ = S.Now_ + MaxAvoidTime;
+    break;
   case AttemptFailure::NotSent:
   case AttemptFailure::Garbage:
   case AttemptFailure::Failed:
@@ -182,6 +179,8 @@
     S.NoticesReadAt_ = S.Now_;
     Out.push_back(ReadNotices{});
   }
+  if (S.Settings_.onPlatform())
+    return; // there a probe costs as much as a request; answers tell enough
   int Probes = 0;
   for (Upstream &U : S.Upstreams_) {
     if (U.Leaving_ || !U.Listed_ || U.Probing_ || Probes == ProbesPerTick ||
--- /dev/null
+++ b/src/usage.h
@@ -0,0 +1,28 @@
+// What accounts used in each window of true time, added up over all processes
+// and reported once by the holder of the lease.
+#pragma once
+
+#include "state.h"
+
+namespace endivewharf {
+
+/// Counts a call that has begun to run, in the window of this moment.
+void noteBegan(State &S, const Call &C);
+
+/// Decides the counts of windows that are over, writes them to the log and
+/// then reports them; a successor repeats exactly what the log has.
+void tickUsage(State &S, Effects &Out);
+
+void applyUsage(State &S, const UsageRecord &R, Effects &Out);
+void onUsageReported(State &S, const UsageReported &E, Effects &Out);
+
+/// Takes a peer's time into account.
+void noteClock(State &S, std::int64_t PeerUnixMs);
+
+/// Unix time by the monotonic clock: steps of the time of day don't show.
+std::int64_t trueUnixMs(const State &S);
+
+/// Number of the window of this moment.
+std::int64_t usageWindow(const State &S);
+
+} // namespace endivewharf
