Gone callers are looked for on the server that numbers them

Cause: each web server numbers its connections anew, so the end of an operator's connection took a pending caller for gone (two process tests red). Change: only the callers' server reports ended connections.

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -328,13 +328,16 @@
     return answer(Request, 404, "text/plain", "no such path\n");
   }
 
-  std::unique_ptr<WebServer> makeServer(const SocketAddress &Address,
-                                        WebHandler OnRequest) {
+  /// @param Closed called for each connection that has ended; each server
+  ///        numbers its connections anew
+  std::unique_ptr<WebServer>
+  makeServer(const SocketAddress &Address, WebHandler OnRequest,
+             std::function<void(restinio::connection_id_t)> Closed = nullptr) {
     const WebLimits Limits{
         ReadLimit,
         static_cast<std::size_t>(Settings_.Limits_.MaxBody_) + BodySlack};
     return makeWebServer(Io_, Address, Limits, std::move(OnRequest),
-                         [this](restinio::connection_id_t Id) { closed(Id); });
+                         std::move(Closed));
   }
 
   /// Callers of requests that are pending on a connection have left.
@@ -411,9 +414,10 @@
 
 void HttpEdge::open(const std::function<void(std::string)> &Failed) {
   Impl &I = *Impl_;
-  I.Callers_ = I.makeServer(I.Settings_.Listen_, [&I](const auto &Request) {
-    return I.onCaller(Request);
-  });
+  I.Callers_ = I.makeServer(
+      I.Settings_.Listen_,
+      [&I](const auto &Request) { return I.onCaller(Request); },
+      [&I](restinio::connection_id_t Id) { I.closed(Id); });
   I.Operators_ =
       I.makeServer(I.Settings_.OperatorListen_,
                    [&I](const auto &Request) { return I.onOperator(Request); });
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -20,6 +20,9 @@
 constexpr Millis StaleConfiguration = 2500; // ms without a word of operators
 constexpr Millis NotReadyRetry = 500;       // ms
 constexpr Millis NoUpstreamRetry = 400;     // ms
+constexpr Millis DrainingRetry = 50;        // ms; another process is there
+constexpr Millis StreamTime = 4500;         // ms in which most streams end
+constexpr Millis PlainTime = 1000;          // ms
 constexpr int FirstServerError = 500;       // HTTP status
 
 Repeat repeatOf(const RouteEntry &Route) {
@@ -90,6 +93,13 @@
           "this process's configuration may be old: " + Detail, NotReadyRetry};
 }
 
+/// A stop may leave too little time for the whole answer; connections that
+/// were kept open go on bringing requests all the while.
+bool endsTooSoon(const State &S, const Call &C) {
+  const Millis Needed = C.Events_ ? StreamTime : PlainTime;
+  return S.Stage_ == Stage::Draining && S.StopDeadline_ - S.Now_ < Needed;
+}
+
 /// May have run: what the caller gets in place of an answer promises nothing.
 CallError failedError(const State &S, const Call &C, std::string Detail) {
   return {ErrorKind::UpstreamFailed, runStateOf(S, C), std::move(Detail), 0};
@@ -146,6 +156,10 @@
     C.Account_ = Holder->Name_;
   }
   fillFromRoute(S, C, *Route);
+  if (endsTooSoon(S, C))
+    return CallError{ErrorKind::Draining, RunState::NotRun,
+                     "this process ends before the answer could be whole",
+                     DrainingRetry};
   if (!isServed(S, C, ""))
     return CallError{ErrorKind::NoUpstream, RunState::NotRun,
                      fmt::format("no upstream serves {}", C.Lane_),
