True time is settled once, after the start

Ruled out: a second lease holder (one holder, higher fences). Change: the median of all clocks once, 1.5 s after the start; a record is repeated as it was; windows too old to count are neither decided nor reported.

--- a/src/state.h
+++ b/src/state.h
@@ -322,7 +322,9 @@
   Millis SentAt_ = 0;
   Millis AskedAt_ = 0;
   std::int64_t FirstWindow_ = 0; ///< Of this life; earlier ones are others'.
-  std::size_t ClockDoubts_ = 0;  ///< Peers' times in a row that differ.
+  std::map<std::int64_t, std::vector<UsageRow>> Proposed_; ///< As asked for.
+  std::map<std::string, std::int64_t> PeersAhead_; ///< Their time less ours.
+  bool ClockSettled_ = false;
   Millis SumsSentAt_ = 0;
   std::int64_t ClockOffset_ = 0; ///< Unix time less the monotonic clock.
   bool ClockKnown_ = false;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -67,7 +67,7 @@
     return; // its digest will come first
   Found->second.Sums_ = M;
   Found->second.SumsAt_ = S.Now_;
-  noteClock(S, M.UnixMs_);
+  noteClock(S, From, M.UnixMs_);
   addOthersLoads(S);
 }
 
--- a/src/usage.h
+++ b/src/usage.h
@@ -17,7 +17,7 @@
 void onUsageReported(State &S, const UsageReported &E, Effects &Out);
 
 /// Takes a peer's time into account.
-void noteClock(State &S, std::int64_t PeerUnixMs);
+void noteClock(State &S, const std::string &Peer, std::int64_t PeerUnixMs);
 
 /// Unix time by the monotonic clock: steps of the time of day don't show.
 std::int64_t trueUnixMs(const State &S);
