--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -101,10 +101,15 @@
   F("account", R.Account_);
   F("count", R.Count_);
 }
+template <Is<WorkRow> T, typename V> void fields(T &R, V &&F) {
+  F("service", R.Service_);
+  F("ms_per_second", R.MsPerSecond_);
+}
 template <Is<SumsMessage> T, typename V> void fields(T &R, V &&F) {
   F("loads", R.Loads_);
   F("demands", R.Demands_);
   F("usage", R.Usage_);
+  F("work", R.Work_);
   F("unix_ms", R.UnixMs_);
 }
 template <Is<FactsMessage> T, typename V> void fields(T &R, V &&F) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -133,11 +133,18 @@
   std::int64_t Count_ = 0;
 };
 
+/// Work that a service's requests ask for at one process.
+struct WorkRow {
+  std::string Service_;
+  double MsPerSecond_ = 0; ///< Of hosts' time.
+};
+
 /// Sums that the sender keeps; each message replaces the one before.
 struct SumsMessage {
   std::vector<LoadRow> Loads_;
   std::vector<DemandRow> Demands_;
   std::vector<UsageRow> Usage_;
+  std::vector<WorkRow> Work_;
   std::int64_t UnixMs_ = 0; ///< True time, as the sender believes.
 };
 
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "calls.h"
 #include "dispatch.h"
+#include "fleet.h"
 #include "quota.h"
 #include "record.h"
 #include "router.h"
@@ -156,6 +157,7 @@
     C.Account_ = Holder->Name_;
   }
   fillFromRoute(S, C, *Route);
+  noteWork(S, C);
   if (endsTooSoon(S, C))
     return CallError{ErrorKind::Draining, RunState::NotRun,
                      "this process ends before the answer could be whole",
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -141,19 +141,6 @@
   return 0;
 }
 
-/// Time to read a prompt at the upstream that shares its leading parts with
-/// earlier ones: all but the last part is thought to be cached.
-double ownerPrefill(const Call &C) {
-  const std::size_t Parts = C.BlockTokens_.size();
-  if (Parts < 2)
-    return static_cast<double>(C.Request_.PromptTokens_) / PrefillTokensPerMs;
-  const std::int64_t Own =
-      C.BlockTokens_[Parts - 1] - C.BlockTokens_[Parts - 2];
-  const auto Shared = static_cast<double>(C.BlockTokens_[Parts - 2]);
-  return (static_cast<double>(Own) + Shared * (1 - OwnerCredit)) /
-         PrefillTokensPerMs;
-}
-
 /// Hash by which a prompt's owner is found: that of its deepest shared part.
 std::uint64_t ownerHash(const Call &C) {
   if (C.Request_.Kind_ == CallKind::Routed && C.Blocks_.size() >= 2)
@@ -174,7 +161,7 @@
   if (C.Request_.Kind_ == CallKind::Routed) {
     double Read = expectedPrefill(S, C, Index);
     if (Index == Owner)
-      Read = std::min(Read, ownerPrefill(C));
+      Read = std::min(Read, likelyPrefill(C));
     return Read * ReadAgainWeight + prefillBacklog(U) + Queue +
            Load * U.ServiceMs_ * LoadShare / Slots + Remote;
   }
@@ -374,6 +361,17 @@
          PrefillTokensPerMs;
 }
 
+double likelyPrefill(const Call &C) {
+  const std::size_t Parts = C.BlockTokens_.size();
+  if (Parts < 2)
+    return static_cast<double>(C.Request_.PromptTokens_) / PrefillTokensPerMs;
+  const std::int64_t Own =
+      C.BlockTokens_[Parts - 1] - C.BlockTokens_[Parts - 2];
+  const auto Shared = static_cast<double>(C.BlockTokens_[Parts - 2]);
+  return (static_cast<double>(Own) + Shared * (1 - OwnerCredit)) /
+         PrefillTokensPerMs;
+}
+
 bool isUsable(const State &S, const Upstream &U) {
   return !U.Leaving_ && U.Listed_ && S.Now_ >= U.AvoidUntil_;
 }
--- a/src/router.h
+++ b/src/router.h
@@ -27,6 +27,10 @@
 /// prompt, in ms.
 double expectedPrefill(const State &S, const Call &C, int Index);
 
+/// The same at an upstream that shares its leading parts with earlier ones:
+/// all but the last part is thought to be cached.
+double likelyPrefill(const Call &C);
+
 /// Picks an upstream with room.
 /// @param S state; the policy's own counters may change
 /// @param C call to place
--- a/src/state.h
+++ b/src/state.h
@@ -330,6 +330,36 @@
   bool ClockKnown_ = false;
 };
 
+// --- Hosts of services ---
+
+/// Work that a service's requests ask for, in ms of hosts' time a second.
+struct WorkAverage {
+  double Since_ = 0; ///< ms, since the averages were taken.
+  double Fast_ = 0;
+  double Slow_ = 0;
+};
+
+/// What was ordered last of one kind of hosts in one zone.
+struct HostOrder {
+  std::uint64_t Id_ = 0;
+  int Count_ = -1; ///< -1: not known.
+  Millis SentAt_ = 0;
+  Millis LessSince_ = 0; ///< Since when fewer are wanted; 0: not now.
+  Millis DryUntil_ = 0;  ///< None are to be had until then.
+  bool Pending_ = false;
+  bool Accepted_ = false;
+};
+
+struct FleetState {
+  std::map<std::string, WorkAverage> Work_;   ///< By service.
+  std::map<std::string, HostOrder> Orders_;   ///< By service, zone and kind.
+  std::uint64_t NextOrder_ = 0;
+  Millis AveragedAt_ = 0;
+  Millis PlannedAt_ = 0;
+  Millis FirstWorkAt_ = 0; ///< 0: none yet.
+  Millis StartTime_ = 0;   ///< Of a host.
+};
+
 // --- Membership ---
 
 struct Member {
@@ -407,6 +437,7 @@
 
   AdmissionState Admission_;
   QuotaTable Quotas_;
+  FleetState Fleet_;
   UsageState Usage_;
   LogState Log_;
   OperatorState Operator_;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -36,6 +36,8 @@
     if (Number > Window - UsageWindowsTold)
       for (const auto &[Account, Count] : Counts)
         M.Usage_.push_back({Number, Account, Count});
+  for (const auto &[Service, W] : S.Fleet_.Work_)
+    M.Work_.push_back({Service, std::max(W.Fast_, W.Slow_)});
   M.UnixMs_ = trueUnixMs(S);
   return M;
 }
