Quotas: every process keeps a copy of the whole bucket

Change: each process takes from one whole bucket what all admit, told four times a second; while others are silent it goes by less; debt within half of the slack.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -95,6 +95,7 @@
 template <Is<DemandRow> T, typename V> void fields(T &R, V &&F) {
   F("account", R.Account_);
   F("per_second", R.PerSecond_);
+  F("admitted", R.Admitted_);
 }
 template <Is<UsageRow> T, typename V> void fields(T &R, V &&F) {
   F("window", R.Window_);
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -14,17 +14,17 @@
 
 namespace {
 
-constexpr double HostLoad = 0.5;       // of a host's time, for prompts
-constexpr double SpotReserve = 1.35;   // spot hosts are cheap: more than needed
-constexpr double FloorShare = 0.3;     // of the need, on demand always
-constexpr int MinFloor = 2;            // hosts, in two zones
-constexpr Millis AveragePeriod = 250;  // ms between two workings-out
-constexpr double FastTime = 1500;      // ms over which work is averaged
-constexpr double SlowTime = 8000;      // ms, so that a lull is no reason
-constexpr Millis PlanPeriod = 500;     // ms between two plans
-constexpr Millis SettleTime = 4000;    // ms after the first request, to know
+constexpr double HostLoad = 0.5;      // of a host's time, for prompts
+constexpr double SpotReserve = 1.35;  // spot hosts are cheap: more than needed
+constexpr double FloorShare = 0.3;    // of the need, on demand always
+constexpr int MinFloor = 2;           // hosts, in two zones
+constexpr Millis AveragePeriod = 250; // ms between two workings-out
+constexpr double FastTime = 1500;     // ms over which work is averaged
+constexpr double SlowTime = 8000;     // ms, so that a lull is no reason
+constexpr Millis PlanPeriod = 500;    // ms between two plans
+constexpr Millis SettleTime = 4000;   // ms after the first request, to know
 constexpr Millis ShrinkPatience = 3000; // ms for which less must be wanted
-constexpr Millis DryTime = 2500;       // ms until spot hosts are asked for again
+constexpr Millis DryTime = 2500; // ms until spot hosts are asked for again
 constexpr Millis OrderPatience = 2000; // ms until an order counts as lost
 constexpr Millis StartMargin = 2500;   // ms beyond a host's start time
 
@@ -57,8 +57,7 @@
       if (U.Row_.Service_ == Service && U.Row_.Zone_ == Zone && !U.Leaving_ &&
           U.Listed_)
         ++(U.Row_.Spot_ ? Z.Spot_ : Z.OnDemand_);
-    const auto Order =
-        S.Fleet_.Orders_.find(orderKey(Service, Zone, true));
+    const auto Order = S.Fleet_.Orders_.find(orderKey(Service, Zone, true));
     if (Order != S.Fleet_.Orders_.end()) {
       const HostOrder &O = Order->second;
       Z.SpotToBeHad_ = S.Now_ >= O.DryUntil_;
@@ -106,9 +105,11 @@
     return;
   if (O.Count_ < 0)
     O.Count_ = Present; // what a holder before us had ordered
-  const bool Stands = O.Count_ == Wanted && (Spot ? Present >= Wanted ||
-                      S.Now_ - O.SentAt_ < S.Fleet_.StartTime_ + StartMargin
-                                                  : true);
+  const bool Stands =
+      O.Count_ == Wanted &&
+      (Spot ? Present >= Wanted ||
+                  S.Now_ - O.SentAt_ < S.Fleet_.StartTime_ + StartMargin
+            : true);
   if (Stands) {
     O.LessSince_ = 0;
     return;
@@ -174,8 +175,8 @@
   if (Plan.empty())
     return Plan;
   const int Need = static_cast<int>(std::ceil(Needed));
-  const int Floor = std::max(
-      MinFloor, static_cast<int>(std::ceil(Needed * FloorShare)));
+  const int Floor =
+      std::max(MinFloor, static_cast<int>(std::ceil(Needed * FloorShare)));
   const std::vector<std::size_t> Order = byPrice(Zones);
   addOnDemand(Plan, Order, Limits, Floor);
 
@@ -184,8 +185,8 @@
   const auto Spread = static_cast<int>(
       std::count_if(Zones.begin(), Zones.end(),
                     [](const ZoneHosts &Z) { return Z.SpotToBeHad_; }));
-  const int SpotNeed = static_cast<int>(
-      std::ceil(std::max(0.0, Needed * SpotReserve - Floor)));
+  const int SpotNeed =
+      static_cast<int>(std::ceil(std::max(0.0, Needed * SpotReserve - Floor)));
   int Coming = 0;
   for (std::size_t I = 0; I < Zones.size(); ++I) {
     ZonePlan &P = Plan[I];
@@ -212,9 +213,9 @@
   updateAverages(S);
   FleetState &F = S.Fleet_;
   if (F.FirstWorkAt_ == 0) {
-    const bool Any = std::any_of(
-        F.Work_.begin(), F.Work_.end(),
-        [](const auto &Entry) { return Entry.second.Fast_ > 0; });
+    const bool Any =
+        std::any_of(F.Work_.begin(), F.Work_.end(),
+                    [](const auto &Entry) { return Entry.second.Fast_ > 0; });
     F.FirstWorkAt_ = Any ? S.Now_ : 0;
     return;
   }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -238,6 +238,7 @@
 /// One visitor for all messages of a peer.
 struct MessageVisitor {
   State &S_;
+  const Life &Sender_;
   const std::string &From_;
   Effects &Out_;
 
@@ -287,7 +288,7 @@
     onFindCall(S_, From_, M, Out_);
   }
   void operator()(const FoundCallMessage &M) const { onFoundCall(S_, M, Out_); }
-  void operator()(const SumsMessage &M) const { onSums(S_, From_, M); }
+  void operator()(const SumsMessage &M) const { onSums(S_, Sender_, M); }
 };
 
 /// Addresses on the platform: told to all by the log, greeted by the settings.
@@ -317,7 +318,7 @@
 
 void onPeerReceived(State &S, const PeerReceived &E, Effects &Out) {
   count(S, "peer_messages");
-  std::visit(MessageVisitor{S, E.Envelope_.From_.Name_, Out},
+  std::visit(MessageVisitor{S, E.Envelope_.From_, E.Envelope_.From_.Name_, Out},
              E.Envelope_.Message_);
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -124,6 +124,7 @@
 struct DemandRow {
   std::string Account_;
   double PerSecond_ = 0;
+  double Admitted_ = 0; ///< Units admitted there in the sender's life.
 };
 
 /// Requests of an account that began to run in one window.
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -1,4 +1,6 @@
-// Quotas as token buckets: each process has a part of every account's bucket.
+// Quotas as token buckets. Every process keeps a copy of each account's whole
+// bucket and takes from it what all have admitted, as they tell a few times a
+// second; a copy may go into debt, which is paid back before more is admitted.
 #include "quota.h"
 
 #include <algorithm>
@@ -8,74 +10,77 @@
 
 namespace {
 
-constexpr Millis UpdatePeriod = 200;   // ms between two workings-out
+constexpr Millis UpdatePeriod = 250;   // ms between two averages of demand
 constexpr double DemandTime = 2000;    // ms over which demand is averaged
-constexpr Millis FreshSums = 1200;     // ms; older ones count as silence
-constexpr double MinDemand = 0.05;     // of the rate, for a newcomer's part
+constexpr Millis FreshSums = 1500;     // ms; older ones count as silence
+constexpr double SlackPart = 0.5;      // of the slack, that may be gone into
+constexpr double StartPart = 0.3;      // of a bucket, for a process just begun
 constexpr Millis MaxQuotaRetry = 5000; // ms
 constexpr Millis MinQuotaRetry = 100;  // ms
 
 double unitsOf(const Call &C, const Account &A) {
   if (A.Unit_ == RateUnit::Requests)
     return 1;
-  const std::int64_t Stated =
-      C.Request_.PromptTokens_ +
-      (C.Request_.PromptTokens_ > 0 ? C.Request_.MaxTokens_ : 0);
-  return Stated > 0 ? static_cast<double>(Stated) : A.PlainUnits_;
+  if (C.Request_.PromptTokens_ <= 0)
+    return A.PlainUnits_;
+  return static_cast<double>(C.Request_.PromptTokens_ + C.Request_.MaxTokens_);
 }
 
-double equalShare(const State &S) {
+double equalPart(const State &S) {
   return 1.0 /
          static_cast<double>(std::max<std::size_t>(1, S.Membership_.Largest_));
 }
 
-double shareOf(const State &S, const QuotaState &Q) {
-  return Q.Share_ > 0 ? Q.Share_ : equalShare(S);
+const DemandRow *demandRow(const Member &M, const std::string &Account) {
+  for (const DemandRow &Row : M.Sums_.Demands_)
+    if (Row.Account_ == Account)
+      return &Row;
+  return nullptr;
+}
+
+/// The part of an account's rate that this process may go by: all of it while
+/// everybody is heard, else less by what the silent ones may be admitting.
+double usablePart(const State &S, const std::string &Account,
+                  const QuotaState &Q) {
+  double Sum = Q.Demand_;
+  double Silent = 0;
+  std::size_t Heard = 1;
+  std::size_t Unheard = 0;
+  for (const auto &[Name, M] : S.Membership_.Members_) {
+    const DemandRow *Row = demandRow(M, Account);
+    const double Demand = Row == nullptr ? 0 : Row->PerSecond_;
+    Sum += Demand;
+    if (M.SumsAt_ >= 0 && S.Now_ - M.SumsAt_ < FreshSums) {
+      ++Heard;
+      continue;
+    }
+    ++Unheard;
+    Silent += Demand;
+  }
+  if (Unheard == 0 && Heard >= S.Membership_.Largest_)
+    return 1;
+  const double Equal = equalPart(S);
+  const double ByDemand = Sum > 0 ? 1 - Silent / Sum : 1;
+  const double ByNumber = std::min(1.0, Equal * static_cast<double>(Heard));
+  return std::max(Equal, std::min(ByDemand, ByNumber));
 }
 
 void fill(const State &S, QuotaState &Q, const Account &A) {
-  const double Share = shareOf(S, Q);
-  const double Capacity = std::max(A.Burst_, A.RatePerSecond_) * Share;
-  const double Elapsed = static_cast<double>(S.Now_ - Q.FilledAt_) / 1000;
+  const double Capacity = std::max(A.Burst_, A.RatePerSecond_) * Q.Part_;
+  if (Q.FilledAt_ == 0)
+    Q.Units_ = Capacity * StartPart;
+  const double Elapsed =
+      Q.FilledAt_ == 0 ? 0 : static_cast<double>(S.Now_ - Q.FilledAt_) / 1000;
   Q.Units_ =
-      Q.Units_ < 0 && Q.FilledAt_ == 0
-          ? Capacity
-          : std::min(Capacity, Q.Units_ + Elapsed * A.RatePerSecond_ * Share);
+      std::min(Capacity, Q.Units_ + Elapsed * A.RatePerSecond_ * Q.Part_);
   Q.FilledAt_ = S.Now_;
 }
 
-/// What a member told last of an account's demand.
-double demandAt(const Member &M, const std::string &Account) {
-  for (const DemandRow &Row : M.Sums_.Demands_)
-    if (Row.Account_ == Account)
-      return Row.PerSecond_;
-  return 0;
-}
-
-void updateShare(const State &S, const std::string &Name, QuotaState &Q) {
-  const auto Found = S.Config_.Value_.AccountsByName_.find(Name);
-  if (Found == S.Config_.Value_.AccountsByName_.end())
-    return;
-  const double Least = Found->second.RatePerSecond_ * MinDemand;
-  double Sum = std::max(Least, Q.Demand_);
-  bool AllHeard = true;
-  std::size_t Known = 1;
-  for (const auto &[Peer, M] : S.Membership_.Members_) {
-    if (M.SumsAt_ < 0)
-      continue;
-    ++Known;
-    Sum += std::max(Least, demandAt(M, Name));
-    AllHeard = AllHeard && S.Now_ - M.SumsAt_ < FreshSums;
-  }
-  const double Wanted = std::max(Least, Q.Demand_) / Sum;
-  if (AllHeard && Known >= S.Membership_.Largest_) {
-    Q.SafeShare_ = Wanted;
-    Q.Share_ = Wanted;
-    return;
-  }
-  // Somebody may have taken a larger part unheard.
-  const double Bound = Q.SafeShare_ > 0 ? Q.SafeShare_ : equalShare(S);
-  Q.Share_ = std::min(Wanted, Bound);
+QuotaState &quotaOf(State &S, const std::string &Account) {
+  const auto [Found, New] = S.Quotas_.Accounts_.try_emplace(Account);
+  if (New)
+    Found->second.Part_ = usablePart(S, Account, Found->second);
+  return Found->second;
 }
 
 } // namespace
@@ -83,26 +88,33 @@
 std::optional<CallError> takeQuota(State &S, Call &C, const Account &A) {
   if (A.RatePerSecond_ <= 0)
     return std::nullopt;
-  QuotaState &Q = S.Quotas_.Accounts_[A.Name_];
+  QuotaState &Q = quotaOf(S, A.Name_);
   const double Units = unitsOf(C, A);
   Q.Asked_ += Units;
   fill(S, Q, A);
-  const double Capacity = std::max(A.Burst_, A.RatePerSecond_) * shareOf(S, Q);
+  const double Capacity = std::max(A.Burst_, A.RatePerSecond_) * Q.Part_;
   // A request larger than the whole bucket passes when it is full.
-  if (Q.Units_ >= std::min(Units, Capacity)) {
+  const double Wanted = std::min(Units, Capacity);
+  // Copies differ by what is on its way: none within the quota is refused.
+  const double Debt =
+      A.Unit_ == RateUnit::Tokens
+          ? S.Settings_.Bounds_.QuotaSlack_ * SlackPart * Q.Part_
+          : 0;
+  if (Q.Units_ + Debt >= Wanted) {
     Q.Units_ -= Units;
+    Q.Admitted_ += Units;
     C.Units_ = Units;
     return std::nullopt;
   }
-  const double Rate = A.RatePerSecond_ * shareOf(S, Q);
-  const double Missing = std::min(Units, Capacity) - Q.Units_;
-  const Millis Wait = std::clamp(static_cast<Millis>(Missing * 1000 / Rate),
-                                 MinQuotaRetry, MaxQuotaRetry);
+  const double Rate = A.RatePerSecond_ * Q.Part_;
+  const Millis Wait =
+      std::clamp(static_cast<Millis>((Wanted - Q.Units_) * 1000 / Rate),
+                 MinQuotaRetry, MaxQuotaRetry);
   return CallError{
       ErrorKind::OverLimit, RunState::NotRun,
-      fmt::format("the account's quota is used up: {:.0f} of {:.0f} "
-                  "units left here, {:.0f} asked for, share {:.3f}",
-                  Q.Units_, Capacity, Units, shareOf(S, Q)),
+      fmt::format("the account's quota is used up: {:.0f} of {:.0f} units "
+                  "left, {:.0f} asked for, {:.2f} of the rate usable here",
+                  Q.Units_, Capacity, Units, Q.Part_),
       Wait};
 }
 
@@ -110,8 +122,19 @@
   if (C.Units_ <= 0)
     return;
   const auto Found = S.Quotas_.Accounts_.find(C.Account_);
-  if (Found != S.Quotas_.Accounts_.end())
-    Found->second.Units_ += C.Units_;
+  if (Found == S.Quotas_.Accounts_.end())
+    return;
+  Found->second.Units_ += C.Units_;
+  Found->second.Admitted_ -= C.Units_;
+}
+
+void noteAdmitted(State &S, const Member &Before, const SumsMessage &Now,
+                  bool SameLife) {
+  for (const DemandRow &Row : Now.Demands_) {
+    const DemandRow *Old = SameLife ? demandRow(Before, Row.Account_) : nullptr;
+    const double Since = Old == nullptr ? 0 : Old->Admitted_;
+    quotaOf(S, Row.Account_).Units_ -= Row.Admitted_ - Since;
+  }
 }
 
 void tickQuotas(State &S) {
@@ -119,12 +142,13 @@
   if (Elapsed < UpdatePeriod)
     return;
   S.Quotas_.UpdatedAt_ = S.Now_;
-  const double Part = std::min(1.0, static_cast<double>(Elapsed) / DemandTime);
+  const double Weight =
+      std::min(1.0, static_cast<double>(Elapsed) / DemandTime);
   for (auto &[Name, Q] : S.Quotas_.Accounts_) {
     const double PerSecond = Q.Asked_ * 1000 / static_cast<double>(Elapsed);
-    Q.Demand_ += Part * (PerSecond - Q.Demand_);
+    Q.Demand_ += Weight * (PerSecond - Q.Demand_);
     Q.Asked_ = 0;
-    updateShare(S, Name, Q);
+    Q.Part_ = usablePart(S, Name, Q);
   }
 }
 
--- a/src/quota.h
+++ b/src/quota.h
@@ -1,5 +1,5 @@
-// Accounts' quotas, shared by all processes in proportion to what is asked of
-// each. A share never grows while others are silent.
+// Accounts' quotas over all processes together. What a process goes by shrinks
+// while others are silent and never grows.
 #pragma once
 
 #include "state.h"
@@ -17,7 +17,13 @@
 /// Gives back what was charged for a call that did not run.
 void returnQuota(State &S, const Call &C);
 
-/// Works out this process's shares from the demand told by all.
+/// Takes what a peer has admitted since its last message from the buckets.
+/// @param Before the peer as it was before the message
+/// @param SameLife false: the peer has started anew and counts from nothing
+void noteAdmitted(State &S, const Member &Before, const SumsMessage &Now,
+                  bool SameLife);
+
+/// Works out demand and how much of each rate may be gone by.
 void tickQuotas(State &S);
 
 } // namespace endivewharf
--- a/src/settings.cpp
+++ b/src/settings.cpp
@@ -169,6 +169,8 @@
        boundNumber(&B::RetrySlack_)},
       {"bounds", "quota_window", "in which an account's units are counted",
        boundTime(&B::QuotaWindow_)},
+      {"bounds", "quota_slack", "units of all processes beyond a quota",
+       boundNumber(&B::QuotaSlack_)},
       {"bounds", "usage_window", "time that one usage report covers",
        boundTime(&B::UsageWindow_)},
       {"bounds", "usage_limit", "time after a window to report it in",
--- a/src/settings.h
+++ b/src/settings.h
@@ -47,6 +47,7 @@
   Millis RetryWindow_ = 10000; ///< In which they are counted.
   double RetrySlack_ = 20;     ///< Further attempts of all processes besides.
   Millis QuotaWindow_ = 8000;  ///< In which an account's units are counted.
+  double QuotaSlack_ = 0;      ///< Units of all processes beyond a quota.
   Millis UsageWindow_ = 5000;  ///< Of one usage report.
   Millis UsageLimit_ = 10000;  ///< After the window, until it has to be there.
   double CanaryShare_ = 0.1;   ///< Of requests to a version not yet proved.
--- a/src/state.h
+++ b/src/state.h
@@ -297,12 +297,12 @@
 
 /// One account's quota as this process sees it.
 struct QuotaState {
-  double Units_ = -1; ///< Left in this process's bucket; -1: not yet filled.
-  Millis FilledAt_ = 0;
-  double Demand_ = 0;    ///< Units asked for here, per second, averaged.
-  double Asked_ = 0;     ///< Since the average was taken.
-  double Share_ = 0;     ///< This process's part of the account's rate.
-  double SafeShare_ = 0; ///< The same, when all others were last heard from.
+  double Units_ = 0;    ///< Left for all processes; below 0: debt.
+  Millis FilledAt_ = 0; ///< 0: not yet.
+  double Admitted_ = 0; ///< Units admitted here in this life.
+  double Demand_ = 0;   ///< Units asked for here, per second, averaged.
+  double Asked_ = 0;    ///< Since the average was taken.
+  double Part_ = 1;     ///< Of rate and burst, to go by here.
 };
 
 struct QuotaTable {
@@ -351,8 +351,8 @@
 };
 
 struct FleetState {
-  std::map<std::string, WorkAverage> Work_;   ///< By service.
-  std::map<std::string, HostOrder> Orders_;   ///< By service, zone and kind.
+  std::map<std::string, WorkAverage> Work_; ///< By service.
+  std::map<std::string, HostOrder> Orders_; ///< By service, zone and kind.
   std::uint64_t NextOrder_ = 0;
   Millis AveragedAt_ = 0;
   Millis PlannedAt_ = 0;
@@ -374,6 +374,7 @@
   /// What it said last of its load, accounts and usage.
   SumsMessage Sums_;
   Millis SumsAt_ = -1;
+  std::uint64_t SumsLife_ = 0; ///< Incarnation that told them.
 };
 
 struct MembershipState {
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -1,6 +1,7 @@
 // Sums replace each other, so a lost message costs nothing but its age.
 #include "sums.h"
 
+#include "quota.h"
 #include "usage.h"
 
 #include <algorithm>
@@ -29,8 +30,7 @@
       M.Loads_.push_back(
           {upstreamHash(U), U.InFlight_, static_cast<int>(U.PrefillMs_)});
   for (const auto &[Name, Q] : S.Quotas_.Accounts_)
-    if (Q.Demand_ >= 1)
-      M.Demands_.push_back({Name, Q.Demand_});
+    M.Demands_.push_back({Name, Q.Demand_, Q.Admitted_});
   const std::int64_t Window = usageWindow(S);
   for (const auto &[Number, Counts] : S.Usage_.Own_)
     if (Number > Window - UsageWindowsTold)
@@ -63,13 +63,16 @@
 
 } // namespace
 
-void onSums(State &S, const std::string &From, const SumsMessage &M) {
-  const auto Found = S.Membership_.Members_.find(From);
+void onSums(State &S, const Life &From, const SumsMessage &M) {
+  const auto Found = S.Membership_.Members_.find(From.Name_);
   if (Found == S.Membership_.Members_.end())
     return; // its digest will come first
+  noteAdmitted(S, Found->second, M,
+               Found->second.SumsLife_ == From.Incarnation_);
+  Found->second.SumsLife_ = From.Incarnation_;
   Found->second.Sums_ = M;
   Found->second.SumsAt_ = S.Now_;
-  noteClock(S, From, M.UnixMs_);
+  noteClock(S, From.Name_, M.UnixMs_);
   addOthersLoads(S);
 }
 
