Three processes follow the store for all; held-up duty calls are reset

Followers by rank read closely; the others go by their sums (hash of the host list, configuration, shares).

--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -213,7 +213,8 @@
     return;
   }
   if (R->Kind_ == CallKind::Service && Whole) {
-    Sink_(ServiceReply{Id, Result.Status_, Result.ContentType_, R->Buffer_});
+    Sink_(
+        ServiceReply{Id, Result.Status_, Result.ContentType_, R->Buffer_, {}});
     return;
   }
   // The end marker makes an answer whole, however the connection ended.
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -144,6 +144,7 @@
   curl_easy_setopt(E, CURLOPT_PREREQFUNCTION, &HttpClient::onBeforeSend);
   curl_easy_setopt(E, CURLOPT_PREREQDATA, &T);
   curl_easy_setopt(E, CURLOPT_SOCKOPTFUNCTION, &HttpClient::onNewSocket);
+  curl_easy_setopt(E, CURLOPT_SOCKOPTDATA, &T);
   curl_easy_setopt(E, CURLOPT_PATH_AS_IS, 1L);
   if (!T.Request_.Target_.empty())
     curl_easy_setopt(E, CURLOPT_REQUEST_TARGET, T.Request_.Target_.c_str());
@@ -284,7 +285,11 @@
   return ++T.Sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
-int HttpClient::onNewSocket(void *, curl_socket_t Socket, curlsocktype) {
+int HttpClient::onNewSocket(void *User, curl_socket_t Socket, curlsocktype) {
+  if (static_cast<Transfer *>(User)->Request_.ResetOnEnd_) {
+    const linger AtOnce{1, 0};
+    setsockopt(Socket, SOL_SOCKET, SO_LINGER, &AtOnce, sizeof(AtOnce));
+  }
   const int Limit = SilentPeerLimitMs;
   setsockopt(Socket, IPPROTO_TCP, TCP_USER_TIMEOUT, &Limit, sizeof(Limit));
   const int On = 1;
--- a/src/client.h
+++ b/src/client.h
@@ -29,6 +29,8 @@
   Millis TotalLimit_ = 0;
   Millis MaxIdle_ = 0; ///< Of a connection to reuse; 0: the library's choice.
   bool Fresh_ = false; ///< Neither reuse a connection nor keep this one.
+  /// Giving the transfer up takes back what a cut network has not delivered.
+  bool ResetOnEnd_ = false;
 };
 
 /// How a transfer ended.
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -111,6 +111,9 @@
   F("demands", R.Demands_);
   F("usage", R.Usage_);
   F("work", R.Work_);
+  F("moves", R.Moves_);
+  F("config_version", R.ConfigVersion_);
+  F("hosts_hash", R.HostsHash_);
   F("unix_ms", R.UnixMs_);
 }
 template <Is<FactsMessage> T, typename V> void fields(T &R, V &&F) {
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -18,8 +18,10 @@
 
 namespace {
 
-constexpr Millis LogRetryPeriod = 250;                 // ms after a failure
-constexpr Millis SnapshotPeriod = 30000;               // ms
+constexpr Millis LogWait = 1500;         // ms for records to come
+constexpr Millis RarePeriod = 5000;      // ms between reads of a bystander
+constexpr Millis LogRetryPeriod = 250;   // ms after a failure
+constexpr Millis SnapshotPeriod = 30000; // ms
 constexpr Millis GenesisPatience = 2 * SnapshotPeriod; // ms without a base
 constexpr std::size_t MaxRejections = 32;              // kept for operators
 constexpr std::size_t MaxBatch = 256;                  // records an append
@@ -158,6 +160,13 @@
          std::holds_alternative<UsageRecord>(Record);
 }
 
+/// On the platform each record wakes every reader: those that don't follow the
+/// store read our own records now and then, shares come from peers.
+bool isLogReadDue(const State &S) {
+  return !S.Settings_.onPlatform() || !S.Log_.SawTail_ || followsStore(S) ||
+         S.Now_ - S.Log_.ReadStartedAt_ >= RarePeriod;
+}
+
 void noteRetention(State &S, LogOffset Earliest) {
   if (Earliest <= S.Log_.Next_ || S.Settings_.onPlatform())
     return; // the platform keeps the newest record of each key
@@ -216,10 +225,10 @@
 
 void driveLog(State &S, Effects &Out) {
   LogState &Log = S.Log_;
-  if (!Log.Reading_ && S.Now_ >= Log.RetryAt_) {
+  if (!Log.Reading_ && S.Now_ >= Log.RetryAt_ && isLogReadDue(S)) {
     Log.Reading_ = true;
     Log.ReadStartedAt_ = S.Now_;
-    Out.push_back(ReadLog{Log.Next_});
+    Out.push_back(ReadLog{Log.Next_, LogWait});
   }
   if (Log.PendingAppend_ != 0 || Log.Outbox_.empty() || S.Now_ < Log.RetryAt_)
     return;
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -107,6 +107,9 @@
     onHostsRead(S_, E, Out_);
     dispatchWaiting(S_, Out_);
   }
+  void operator()(const HostsReadFailed &) const {
+    onHostsReadFailed(S_, Out_);
+  }
   void operator()(const NoticesRead &E) const {
     onNoticesRead(S_, E, Out_);
     for (const ReclaimNotice &Notice : E.Notices_)
--- a/src/effect.h
+++ b/src/effect.h
@@ -136,6 +136,7 @@
 
 struct ReadLog {
   LogOffset From_ = 0;
+  Millis Wait_ = 1000; ///< For records, where there are none yet.
 };
 
 struct AppendToLog {
@@ -146,6 +147,7 @@
 /// Reads on in what operators write.
 struct ReadOperator {
   LogOffset From_ = 0;
+  Millis Wait_ = 1000; ///< For records, where there are none yet.
 };
 
 /// Writes how a move to another version stands.
--- a/src/event.h
+++ b/src/event.h
@@ -168,6 +168,8 @@
   std::vector<HostRow> Hosts_;
 };
 
+struct HostsReadFailed {};
+
 /// A reclaim notice of the cloud API.
 struct ReclaimNotice {
   Life Host_;
@@ -237,9 +239,9 @@
     std::variant<RequestArrived, ResumeArrived, CallerGone, AttemptHead,
                  AttemptToken, AttemptEnded, AttemptFailed, ServiceReply,
                  PeerReceived, LogRead, LogReadFailed, AppendEnded,
-                 OperatorRead, OperatorReadFailed, HostsRead, NoticesRead,
-                 ProbeEnded, MoveStateWritten, HostsOrdered, UsageReported,
-                 SettingsChanged, Tick, StopRequested>;
+                 OperatorRead, OperatorReadFailed, HostsRead, HostsReadFailed,
+                 NoticesRead, ProbeEnded, MoveStateWritten, HostsOrdered,
+                 UsageReported, SettingsChanged, Tick, StopRequested>;
 
 /// An event with the only time and randomness that the core sees.
 struct Event {
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -3,6 +3,7 @@
 #include "lease.h"
 
 #include "controllog.h"
+#include "membership.h"
 #include "record.h"
 
 #include <fmt/format.h>
@@ -14,6 +15,7 @@
 constexpr double HolderShare = 0.8;      // of the length that the holder uses
 constexpr double ChallengerShare = 1.25; // of the length that others wait
 constexpr int RenewalsPerLease = 3;
+constexpr std::size_t SmallGroup = 4; // processes that all follow the log
 
 /// The holder counts from before it sent its record, the others from when they
 /// read it, and both keep a margin for clocks that run at different speeds.
@@ -47,6 +49,21 @@
   S.Lease_.Nonce_ = 0;
 }
 
+/// Only who has followed the log for the longest lease knows that one ended.
+bool mayChallenge(State &S) {
+  LeaseState &L = S.Lease_;
+  if (!followsStore(S)) {
+    L.FollowingSince_ = -1;
+    return false;
+  }
+  if (L.FollowingSince_ < 0)
+    L.FollowingSince_ = S.Now_;
+  const bool Holder = L.Holder_ == S.Self_ && !L.Released_;
+  return Holder || S.Membership_.Largest_ <= SmallGroup ||
+         S.Now_ - L.FollowingSince_ >=
+             challengerTime(S.Settings_.Limits_.LeaseTime_);
+}
+
 std::uint64_t newNonce(State &S) {
   S.Lease_.SentAt_ = S.Now_;
   S.Lease_.Nonce_ = nextRandom(S) | 1;
@@ -98,6 +115,8 @@
   LeaseState &L = S.Lease_;
   if (!S.Log_.SawTail_ || !S.Log_.Available_ || S.Stage_ != Stage::Serving)
     return;
+  if (S.Settings_.onPlatform() && !mayChallenge(S))
+    return;
   const Millis Length = S.Settings_.Limits_.LeaseTime_;
   if (L.Nonce_ != 0 && S.Now_ - L.SentAt_ < Length)
     return; // a record is under way
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -26,6 +26,9 @@
 constexpr std::size_t SmallGroup = 6;          // peers who all get everything
 constexpr std::size_t DigestTargets = 2;       // in our data centre, else
 constexpr std::size_t RumourTargets = 5;       // peers told of a new fact
+constexpr std::size_t Followers = 3;           // of the platform's store
+constexpr std::uint64_t FollowerSeed = 4;      // of the hash that ranks them
+constexpr Millis FollowerSilence = 2500;       // ms without sums
 constexpr Millis GreetPeriod = 500;  // ms between digests to unknown seeds
 constexpr Millis ForgetTime = 20000; // ms of silence
 constexpr std::size_t Judges = 3;    // processes that collect evidence
@@ -288,7 +291,7 @@
     onFindCall(S_, From_, M, Out_);
   }
   void operator()(const FoundCallMessage &M) const { onFoundCall(S_, M, Out_); }
-  void operator()(const SumsMessage &M) const { onSums(S_, Sender_, M); }
+  void operator()(const SumsMessage &M) const { onSums(S_, Sender_, M, Out_); }
 };
 
 /// Addresses on the platform: told to all by the log, greeted by the settings.
@@ -312,6 +315,20 @@
 
 } // namespace
 
+bool followsStore(const State &S) {
+  if (S.Membership_.Largest_ <= Followers + 1)
+    return true;
+  const std::uint64_t Own = hashText(S.Self_.Name_, FollowerSeed);
+  const auto Before = std::count_if(
+      S.Membership_.Members_.begin(), S.Membership_.Members_.end(),
+      [&](const auto &Entry) {
+        const Member &M = Entry.second;
+        return M.SumsAt_ >= 0 && S.Now_ - M.SumsAt_ < FollowerSilence &&
+               !M.Row_.Draining_ && hashText(Entry.first, FollowerSeed) < Own;
+      });
+  return Before < static_cast<std::ptrdiff_t>(Followers);
+}
+
 void onJoin(State &S, const JoinRecord &R, Effects &Out) {
   learnAddress(S, R.Row_, Out);
 }
--- a/src/membership.h
+++ b/src/membership.h
@@ -12,6 +12,11 @@
 /// Learns from the log where a process is reached.
 void onJoin(State &S, const JoinRecord &R, Effects &Out);
 
+/// Few processes follow the platform's store closely and tell the others what
+/// they see; in a small group all do.
+/// @return true if this process is one of them
+bool followsStore(const State &S);
+
 /// Sends heartbeats and finds out who has fallen silent.
 void tickMembership(State &S, Effects &Out);
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -146,7 +146,10 @@
   std::vector<DemandRow> Demands_;
   std::vector<UsageRow> Usage_;
   std::vector<WorkRow> Work_;
-  std::int64_t UnixMs_ = 0; ///< True time, as the sender believes.
+  std::vector<MoveRow> Moves_; ///< Of services, that are known there.
+  LogOffset ConfigVersion_ = NoOffset;
+  std::uint64_t HostsHash_ = 0; ///< Of the host list; 0: not followed there.
+  std::int64_t UnixMs_ = 0;     ///< True time, as the sender believes.
 };
 
 /// Facts and evidence; merging is idempotent and order does not matter.
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -2,6 +2,7 @@
 #include "operatorlog.h"
 
 #include "controllog.h"
+#include "membership.h"
 #include "record.h"
 #include "rollout.h"
 
@@ -9,7 +10,9 @@
 
 namespace {
 
-constexpr Millis RetryPeriod = 250; // ms after a failure
+constexpr Millis RetryPeriod = 250;   // ms after a failure
+constexpr Millis FollowerWait = 1500; // ms; silence shows as soon
+constexpr Millis OthersWait = 10000;  // ms; followers' words come sooner
 
 /// One visitor for all that operators write.
 struct OperatorVisitor {
@@ -55,7 +58,8 @@
   if (!S.Settings_.onPlatform() || O.Reading_ || S.Now_ < O.RetryAt_)
     return;
   O.Reading_ = true;
-  Out.push_back(ReadOperator{O.Next_});
+  Out.push_back(
+      ReadOperator{O.Next_, followsStore(S) ? FollowerWait : OthersWait});
 }
 
 } // namespace endivewharf
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -67,20 +67,27 @@
 
 void fill(const State &S, QuotaState &Q, const Account &A) {
   const double Capacity = std::max(A.Burst_, A.RatePerSecond_) * Q.Part_;
-  if (Q.FilledAt_ == 0)
-    Q.Units_ = Capacity * StartPart;
-  const double Elapsed =
-      Q.FilledAt_ == 0 ? 0 : static_cast<double>(S.Now_ - Q.FilledAt_) / 1000;
+  const double Elapsed = static_cast<double>(S.Now_ - Q.FilledAt_) / 1000;
   Q.Units_ =
       std::min(Capacity, Q.Units_ + Elapsed * A.RatePerSecond_ * Q.Part_);
   Q.FilledAt_ = S.Now_;
 }
 
+/// A bucket begins with a part of what it holds: what others admitted before
+/// is not known.
 QuotaState &quotaOf(State &S, const std::string &Account) {
   const auto [Found, New] = S.Quotas_.Accounts_.try_emplace(Account);
-  if (New)
-    Found->second.Part_ = usablePart(S, Account, Found->second);
-  return Found->second;
+  QuotaState &Q = Found->second;
+  if (!New)
+    return Q;
+  Q.Part_ = usablePart(S, Account, Q);
+  Q.FilledAt_ = S.Now_;
+  const auto Configured = S.Config_.Value_.AccountsByName_.find(Account);
+  if (Configured != S.Config_.Value_.AccountsByName_.end())
+    Q.Units_ =
+        std::max(Configured->second.Burst_, Configured->second.RatePerSecond_) *
+        Q.Part_ * StartPart;
+  return Q;
 }
 
 } // namespace
@@ -129,7 +136,11 @@
 }
 
 void noteAdmitted(State &S, const Member &Before, const SumsMessage &Now,
-                  bool SameLife) {
+                  std::uint64_t Life) {
+  // Of a peer that was never heard before nobody knows when it admitted what.
+  if (Before.SumsLife_ == 0)
+    return;
+  const bool SameLife = Before.SumsLife_ == Life;
   for (const DemandRow &Row : Now.Demands_) {
     const DemandRow *Old = SameLife ? demandRow(Before, Row.Account_) : nullptr;
     const double Since = Old == nullptr ? 0 : Old->Admitted_;
--- a/src/quota.h
+++ b/src/quota.h
@@ -19,9 +19,9 @@
 
 /// Takes what a peer has admitted since its last message from the buckets.
 /// @param Before the peer as it was before the message
-/// @param SameLife false: the peer has started anew and counts from nothing
+/// @param Life the peer's incarnation; a new one counts from nothing
 void noteAdmitted(State &S, const Member &Before, const SumsMessage &Now,
-                  bool SameLife);
+                  std::uint64_t Life);
 
 /// Works out demand and how much of each rate may be gone by.
 void tickQuotas(State &S);
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -127,6 +127,11 @@
   for (const MoveRow &Row : Rows) {
     if (!isKnown(S, Row.Model_, Row.Note_))
       beginMove(S, Row, Out);
+    Move &M = S.Release_.Moves_.at(Row.Model_);
+    if (M.Row_.Note_ == Row.Note_ && Row.Share_ > M.Row_.Share_) {
+      M.Row_.Share_ = Row.Share_;
+      M.ShareSince_ = S.Now_;
+    }
     if (Row.Bad_)
       markBad(S, {Row.Note_, Row.Model_, Row.Reason_}, Out);
   }
--- a/src/state.h
+++ b/src/state.h
@@ -22,7 +22,8 @@
 struct Upstream {
   HostRow Row_;
   bool Leaving_ = false; ///< Never unset: a new life is a new upstream.
-  bool Listed_ = true;   ///< Still on the host list.
+  bool Listed_ = true;   ///< Still on the host list, or missing for a moment.
+  bool InList_ = true;   ///< On the host list as it was read last.
   std::set<LoadedVersion> Loaded_;
   int InFlight_ = 0;       ///< Attempts of this process.
   int BatchInFlight_ = 0;  ///< Of these, those of batch requests.
@@ -225,9 +226,10 @@
   Millis ReadAt_ = 0; ///< When this process read the last record.
   Millis Length_ = 0;
   bool Released_ = false;
-  Millis SentAt_ = 0;       ///< When this process sent its last record.
-  std::uint64_t Nonce_ = 0; ///< Of that record; 0: none under way.
-  Millis HeldUntil_ = 0;    ///< This process's own bound; 0: not the holder.
+  Millis SentAt_ = 0;          ///< When this process sent its last record.
+  std::uint64_t Nonce_ = 0;    ///< Of that record; 0: none under way.
+  Millis HeldUntil_ = 0;       ///< This process's own bound; 0: not the holder.
+  Millis FollowingSince_ = -1; ///< Since when it follows the log closely.
 };
 
 enum class KeyStatus { Claimed, Done };
@@ -451,6 +453,10 @@
   std::deque<Decision> Decisions_;
   Counters Counters_;
   Millis HostsReadAt_ = -1;
+  Millis HostsConfirmedAt_ = -1; ///< When a follower's list was the same.
+  bool HostsDiffer_ = false;     ///< A follower's list was another one.
+  Millis HostsFailingSince_ = 0; ///< 0: the last read of the list succeeded.
+  Millis HostsBackAt_ = 0;       ///< First success after failures.
   Millis NoticesReadAt_ = -1;
   bool Ready_ = false;
 };
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -1,7 +1,9 @@
 // Sums replace each other, so a lost message costs nothing but its age.
 #include "sums.h"
 
+#include "membership.h"
 #include "quota.h"
+#include "rollout.h"
 #include "usage.h"
 
 #include <algorithm>
@@ -23,6 +25,17 @@
       Name.data(), Name.size(), U.Row_.Host_.Incarnation_));
 }
 
+/// Hash of the host list as it was read last; equal for equal lists.
+std::uint64_t hostsHash(const State &S) {
+  std::uint64_t Sum = 1;
+  for (const Upstream &U : S.Upstreams_)
+    if (U.InList_)
+      Sum += XXH3_64bits_withSeed(
+          U.Row_.Host_.Name_.data(), U.Row_.Host_.Name_.size(),
+          U.Row_.Host_.Incarnation_ * 2 + (U.Row_.Leaving_ ? 1 : 0));
+  return Sum;
+}
+
 SumsMessage makeSums(const State &S) {
   SumsMessage M;
   for (const Upstream &U : S.Upstreams_)
@@ -38,6 +51,11 @@
         M.Usage_.push_back({Number, Account, Count});
   for (const auto &[Service, W] : S.Fleet_.Work_)
     M.Work_.push_back({Service, std::max(W.Fast_, W.Slow_)});
+  for (const auto &[Service, Move] : S.Release_.Moves_)
+    M.Moves_.push_back(Move.Row_);
+  M.ConfigVersion_ = S.Config_.Version_;
+  if (followsStore(S) && S.HostsReadAt_ >= 0)
+    M.HostsHash_ = hostsHash(S);
   M.UnixMs_ = trueUnixMs(S);
   return M;
 }
@@ -61,18 +79,30 @@
   }
 }
 
+/// A follower's list confirms ours, or shows that it is to be read again.
+void noteHostsHash(State &S, std::uint64_t Hash) {
+  if (Hash == hostsHash(S))
+    S.HostsConfirmedAt_ = S.Now_;
+  else
+    S.HostsDiffer_ = true;
+}
+
 } // namespace
 
-void onSums(State &S, const Life &From, const SumsMessage &M) {
+void onSums(State &S, const Life &From, const SumsMessage &M, Effects &Out) {
   const auto Found = S.Membership_.Members_.find(From.Name_);
   if (Found == S.Membership_.Members_.end())
     return; // its digest will come first
-  noteAdmitted(S, Found->second, M,
-               Found->second.SumsLife_ == From.Incarnation_);
+  noteAdmitted(S, Found->second, M, From.Incarnation_);
   Found->second.SumsLife_ = From.Incarnation_;
   Found->second.Sums_ = M;
   Found->second.SumsAt_ = S.Now_;
   noteClock(S, From.Name_, M.UnixMs_);
+  adoptRollouts(S, M.Moves_, Out);
+  if (M.ConfigVersion_ > S.Config_.Version_)
+    Out.push_back(SendToPeer{From.Name_, ControlRequestMessage{}});
+  if (M.HostsHash_ != 0)
+    noteHostsHash(S, M.HostsHash_);
   addOthersLoads(S);
 }
 
--- a/src/sums.h
+++ b/src/sums.h
@@ -7,7 +7,7 @@
 namespace endivewharf {
 
 /// Takes a peer's sums in place of those it told before.
-void onSums(State &S, const Life &From, const SumsMessage &M);
+void onSums(State &S, const Life &From, const SumsMessage &M, Effects &Out);
 
 /// Sends this process's sums when they are due.
 void tickSums(State &S, Effects &Out);
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -12,10 +12,13 @@
 
 namespace {
 
-constexpr Millis HostListPeriod = 500;  // ms between reads
-constexpr Millis NoticePeriod = 250;    // ms between reads
-constexpr Millis ProbePeriod = 500;     // ms between probes of one upstream
-constexpr Millis RefusalPause = 100;    // ms after a refusal
+constexpr Millis HostListPeriod = 500;      // ms between reads
+constexpr Millis DifferentListPeriod = 250; // ms, when it has changed
+constexpr Millis ConfirmedTime = 2500;      // ms without a word of a reader
+constexpr Millis ReturnTime = 2300;         // ms after the store's return
+constexpr Millis NoticePeriod = 250;        // ms between reads
+constexpr Millis ProbePeriod = 500;         // ms between probes of one upstream
+constexpr Millis RefusalPause = 100;        // ms after a refusal
 constexpr Millis AvoidTime = 500;       // ms after a failure, doubled in a row
 constexpr Millis MaxAvoidTime = 8000;   // ms
 constexpr int ProbesPerTick = 8;        // bound on the probing work of a tick
@@ -52,6 +55,38 @@
            {{"upstream", Row.Host_.Name_}, {"address", Row.Address_}});
 }
 
+/// Entries that lapsed while the store was away come back soon after it.
+void noteHostsBack(State &S) {
+  if (S.HostsFailingSince_ != 0)
+    S.HostsBackAt_ = S.Now_;
+  S.HostsFailingSince_ = 0;
+}
+
+/// A host that is not on the list gets no new work, but for the time in which
+/// entries come back after the store was away.
+void noteMissing(State &S, Upstream &U, Effects &Out) {
+  if (U.UnlistedAt_ == 0) {
+    U.UnlistedAt_ = S.Now_;
+    logEvent(Out, "upstream_missing", {{"upstream", U.Row_.Host_.Name_}});
+  }
+  const bool JustBack =
+      S.HostsBackAt_ != 0 && S.Now_ - S.HostsBackAt_ < ReturnTime;
+  U.Listed_ = JustBack && S.Settings_.onPlatform();
+}
+
+/// On the platform only few processes read the list all the time; the others
+/// read it when it has changed, or when they hear of no reader.
+bool isHostReadDue(const State &S) {
+  if (S.HostsReadAt_ < 0)
+    return true;
+  const Millis Age = S.Now_ - S.HostsReadAt_;
+  if (!S.Settings_.onPlatform() || followsStore(S))
+    return Age >= HostListPeriod;
+  if (S.HostsDiffer_)
+    return Age >= DifferentListPeriod;
+  return Age >= HostListPeriod && S.Now_ - S.HostsConfirmedAt_ >= ConfirmedTime;
+}
+
 } // namespace
 
 bool isLeaving(const State &S, const Life &Host) {
@@ -79,23 +114,40 @@
   std::vector<bool> WasListed;
   for (Upstream &U : S.Upstreams_) {
     WasListed.push_back(U.Listed_);
-    U.Listed_ = false;
+    U.InList_ = false;
   }
+  noteHostsBack(S);
   for (const HostRow &Row : E.Hosts_) {
     const auto Found = S.UpstreamByLife_.find(Row.Host_);
-    if (Found == S.UpstreamByLife_.end())
+    if (Found == S.UpstreamByLife_.end()) {
       addUpstream(S, Row, Out);
-    else
-      S.Upstreams_[Found->second].Listed_ = true;
+    } else {
+      Upstream &U = S.Upstreams_[Found->second];
+      S.PoolsChanged_ = S.PoolsChanged_ || U.Row_.Version_ != Row.Version_;
+      U.Row_ = Row;
+      U.InList_ = true;
+      U.Listed_ = true;
+      U.UnlistedAt_ = 0;
+    }
     if (Row.Leaving_)
       markLeaving(S, Row.Host_, "host_list", Out);
   }
+  for (Upstream &U : S.Upstreams_)
+    if (!U.InList_ && U.Listed_)
+      noteMissing(S, U, Out);
   for (std::size_t I = 0; I < WasListed.size(); ++I)
     S.PoolsChanged_ =
         S.PoolsChanged_ || S.Upstreams_[I].Listed_ != WasListed[I];
   S.HostsReadAt_ = S.Now_;
 }
 
+void onHostsReadFailed(State &S, Effects &Out) {
+  if (S.HostsFailingSince_ != 0)
+    return;
+  S.HostsFailingSince_ = S.Now_;
+  logWarning(Out, "host_list_unavailable", {});
+}
+
 void onNoticesRead(State &S, const NoticesRead &E, Effects &Out) {
   for (const ReclaimNotice &Notice : E.Notices_)
     if (Notice.Host_.Name_ != S.Self_.Name_)
@@ -169,8 +221,9 @@
 }
 
 void tickUpstreams(State &S, Effects &Out) {
-  if (S.HostsReadAt_ < 0 || S.Now_ - S.HostsReadAt_ >= HostListPeriod) {
+  if (isHostReadDue(S)) {
     S.HostsReadAt_ = S.Now_;
+    S.HostsDiffer_ = false;
     Out.push_back(ReadHosts{});
   }
   const bool HasCloud = !S.Settings_.CloudUrl_.empty();
--- a/src/upstreams.h
+++ b/src/upstreams.h
@@ -7,6 +7,7 @@
 namespace endivewharf {
 
 void onHostsRead(State &S, const HostsRead &E, Effects &Out);
+void onHostsReadFailed(State &S, Effects &Out);
 void onNoticesRead(State &S, const NoticesRead &E, Effects &Out);
 void onProbeEnded(State &S, const ProbeEnded &E, Effects &Out);
 
