--- /dev/null
+++ b/tests/wire_test.cpp
@@ -0,0 +1,129 @@
+// The platform's bodies, records and headers: what can be read is read, the
+// rest is a typed error, whatever the bytes.
+#include "platform/wire.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+namespace endivewharf::platform {
+
+namespace {
+
+constexpr const char *Entry =
+    R"({"service":"s","address":"10.1.2.3:80","zone":"a","version":"v1",)"
+    R"("slots":6,"state":"ready","coldRemainingMs":0,"born":17,"sequence":4})";
+
+std::string replaced(std::string Text, const std::string &From,
+                     const std::string &To) {
+  Text.replace(Text.find(From), From.size(), To);
+  return Text;
+}
+
+} // namespace
+
+TEST(WireTest, hostEntry_complete_isRead) {
+  const auto Row = decodeHost("i-1", Entry);
+  ASSERT_TRUE(Row);
+  EXPECT_EQ(Row->Host_.Name_, "i-1");
+  EXPECT_EQ(Row->Host_.Incarnation_, 17U);
+  EXPECT_EQ(Row->Address_, "http://10.1.2.3:80");
+  EXPECT_FALSE(Row->Leaving_);
+}
+
+TEST(WireTest, hostEntry_ofAnotherWriter_isATypedError) {
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {R"("slots":6)", R"("slots":"6")"},
+           {R"("born":17)", R"("born":1.5)"},
+           {R"("state":"ready")", R"("state":"asleep")"},
+           {R"("zone":"a",)", ""},
+           {R"("10.1.2.3:80")", R"("nowhere")"},
+           {R"("service":"s")", R"("service":null)"}})
+    EXPECT_FALSE(decodeHost("i-1", replaced(Entry, From, To))) << To;
+  EXPECT_FALSE(decodeHost("i-1", "\xff\xfe"));
+}
+
+TEST(WireTest, configuration_withZonePrices_isReadWhole) {
+  const auto Text = decodeConfiguration(
+      R"({"version":7,"routes":[{"name":"r","host":"h","pathPrefix":"/p/",)"
+      R"("kind":"idempotent","timeoutMs":1000,"goalMs":100,"priority":2,)"
+      R"("split":[{"service":"s","weight":90},{"service":"t","weight":10}],)"
+      R"("attempts":2}],"services":[{"name":"s","maxConns":5,"scaling":)"
+      R"({"min":1,"max":6,"bootS":4.0,"spotPrice":0.18,"zonePrices":)"
+      R"({"a":0.85,"b":1.2}}},{"name":"t"}],"tenants":[{"name":"n",)"
+      R"("apiKeys":["k1","k2"],"unit":"tokens","ratePerS":10,"burst":20},)"
+      R"({"name":"m","apiKeys":[]}]})");
+  ASSERT_TRUE(Text) << describe(Text.error());
+  const auto Config = parseConfiguration(*Text, "test");
+  ASSERT_TRUE(Config) << *Text << describe(Config.error().front());
+  EXPECT_EQ(Config->Services_.at("s").Scaling_.ZonePrices_.at("b"), 1.2);
+  EXPECT_EQ(Config->Services_.at("s").Scaling_.StartTime_, 4000);
+  EXPECT_EQ(Config->AccountsByKey_.at("k2").Name_, "n");
+  EXPECT_EQ(Config->AccountsByName_.at("m").RatePerSecond_, 0);
+  const RouteEntry *Route = findRoute(*Config, "H:80", "/p/x");
+  ASSERT_NE(Route, nullptr);
+  EXPECT_EQ(Route->Kind_, RouteKind::Repeatable);
+  EXPECT_EQ(Route->Services_.size(), 2U);
+}
+
+TEST(WireTest, configuration_wrongShape_isATypedError) {
+  EXPECT_FALSE(decodeConfiguration("[]"));
+  EXPECT_FALSE(decodeConfiguration(R"({"routes":[]})"));
+  EXPECT_FALSE(decodeConfiguration(R"({"routes":[{}],"services":[]})"));
+}
+
+TEST(WireTest, page_ofRecords_isReadAsWritten) {
+  std::string Bytes(16, '\0');
+  Bytes[7] = 9;
+  Bytes[15] = 3;
+  Bytes += encodeKeyed("key", "value") + encodeKeyed("gone", "");
+  const auto Page = decodePage(Bytes, 7);
+  ASSERT_TRUE(Page);
+  EXPECT_EQ(Page->End_, 9);
+  EXPECT_EQ(Page->First_, 3);
+  ASSERT_EQ(Page->Records_.size(), 2U);
+  EXPECT_EQ(Page->Records_[0].Offset_, 7);
+  EXPECT_EQ(Page->Records_[0].Value_, "value");
+  EXPECT_EQ(Page->Records_[1].Key_, "gone");
+  for (std::size_t Cut = 1; Cut < 8; ++Cut)
+    EXPECT_FALSE(decodePage(Bytes.substr(0, Bytes.size() - Cut), 7));
+}
+
+RC_GTEST_PROP(WireTest, anyBytes_decoders_neverFail, (const std::string &Any)) {
+  (void)decodePage(Any, 0);
+  (void)decodeNewest(Any);
+  (void)decodeConfiguration(Any);
+  (void)decodeMove(Any);
+  (void)decodeHost("x", Any);
+  (void)decodeParts(Any);
+  (void)decodeNumber(Any);
+}
+
+TEST(WireTest, newest_isReadWithItsValues) {
+  const auto Page =
+      decodeNewest(R"({"items":[{"key":"config","value":"YWI=","offset":4}],)"
+                   R"("hasMore":true,"end":6})");
+  ASSERT_TRUE(Page);
+  EXPECT_TRUE(Page->More_);
+  EXPECT_EQ(Page->Records_[0].Value_, "ab");
+}
+
+TEST(WireTest, headers_ofTheSystem_areNotPassedOn) {
+  for (const char *Name :
+       {"authorization", "Tenant", "Expect-Instance", "Deadline-Ms", "Hold",
+        "Pin-Ms", "Kv-From", "Kv-Backup", "Connection", "Transfer-Encoding",
+        "Content-Length", "Request-Priority"})
+    EXPECT_FALSE(isPassedOn(Name)) << Name;
+  for (const char *Name : {"Host", "Request-Id", "Model", "Token-Count",
+                           "Prompt-Prefix", "Length-Hint", "X-Own"})
+    EXPECT_TRUE(isPassedOn(Name)) << Name;
+}
+
+TEST(WireTest, promptParts_withRubbishBetween_othersAreRead) {
+  const auto Parts = decodeParts("5c1e:800,zz,91bd:x,e440:250");
+  ASSERT_EQ(Parts.size(), 2U);
+  EXPECT_EQ(Parts[1].Id_, "e440");
+  EXPECT_EQ(Parts[1].Tokens_, 250);
+}
+
+} // namespace endivewharf::platform
