--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-constexpr double HostLoad = 0.5;      // of a host's time, for prompts
+constexpr double HostLoad = 0.4;      // of a host's time, for prompts
 constexpr double SpotReserve = 1.35;  // spot hosts are cheap: more than needed
 constexpr double FloorShare = 0.3;    // of the need, on demand always
 constexpr int MinFloor = 2;           // hosts, in two zones
--- a/standins/web.cpp
+++ b/standins/web.cpp
@@ -1,16 +1,20 @@
 // RESTinio behind the stand-ins' small interface.
 #include "web.h"
 
+#include "webserver.h"
+
 #include <chrono>
 #include <cstdio>
-#include <restinio/all.hpp>
 
 namespace standin {
 
 namespace {
 
-using Traits = restinio::single_thread_traits_t<restinio::asio_timer_manager_t,
-                                                restinio::null_logger_t>;
+struct Traits
+    : restinio::traits_t<restinio::asio_timer_manager_t,
+                         restinio::null_logger_t,
+                         restinio::default_request_handler_t,
+                         restinio::noop_strand_t, endivewharf::CallerSocket> {};
 using Server = restinio::http_server_t<Traits>;
 using Stream = restinio::response_builder_t<restinio::chunked_output_t>;
 
@@ -29,6 +33,8 @@
     Response.append_header("Content-Type", Type);
     if (NotRun)
       Response.append_header("X-Not-Run", "1");
+    for (const auto &[Name, Value] : Headers_)
+      Response.append_header(Name, Value);
     Response.set_body(std::move(Body));
     Response.done();
   }
@@ -38,6 +44,16 @@
     Stream_ = std::make_unique<Stream>(
         Request_->create_response<restinio::chunked_output_t>());
     Stream_->append_header("Content-Type", Type);
+    for (const auto &[Name, Value] : Headers_)
+      Stream_->append_header(Name, Value);
+  }
+
+  void header(const std::string &Name, const std::string &Value) override {
+    Headers_.emplace_back(Name, Value);
+  }
+
+  void cut() override {
+    endivewharf::CallerSocket::breakOff(Request_->remote_endpoint());
   }
 
   void chunk(std::string Bytes) override {
@@ -54,6 +70,7 @@
   restinio::request_handle_t Request_;
   std::unique_ptr<Stream> Stream_;
   std::function<void()> OnGone_;
+  std::vector<std::pair<std::string, std::string>> Headers_;
 };
 
 WebRequest readRequest(const restinio::request_handle_t &From) {
@@ -64,6 +81,12 @@
   Request.Body_ = From->body();
   Request.IdempotencyKey_ = Header.get_field_or("Idempotency-Key", "");
   Request.RequestId_ = Header.get_field_or("X-Request-Id", "");
+  Header.for_each_field([&](const auto &Field) {
+    std::string Name = Field.name();
+    for (char &C : Name)
+      C = static_cast<char>(std::tolower(static_cast<unsigned char>(C)));
+    Request.Headers_[Name] = Field.value();
+  });
   const auto Query = restinio::parse_query(Header.query());
   for (const auto &[Key, Value] : Query)
     Request.Query_[std::string(Key.data(), Key.size())] =
--- a/standins/web.h
+++ b/standins/web.h
@@ -20,6 +20,7 @@
   std::string Body_;
   std::string IdempotencyKey_;
   std::string RequestId_;
+  std::map<std::string, std::string> Headers_; ///< Names in lower case.
 };
 
 /// The answer to one request; may be kept and used later.
@@ -28,6 +29,10 @@
   virtual ~WebReply() = default;
   virtual void send(int Status, const std::string &Type, std::string Body,
                     bool NotRun = false) = 0;
+  /// Adds a header to the answer; before `send` or `begin`.
+  virtual void header(const std::string &Name, const std::string &Value) = 0;
+  /// Breaks the connection off, whatever was sent.
+  virtual void cut() = 0;
   /// Begins a streamed answer; `OnGone` is called if the caller goes away.
   virtual void begin(const std::string &Type, std::function<void()> OnGone) = 0;
   virtual void chunk(std::string Bytes) = 0;
@@ -72,6 +77,7 @@
   int LoadMs_ = 300;
   int LagMs_ = 100;
   bool CheckEpoch_ = true;
+  std::string Name_; ///< Of a server on the platform.
 };
 
 void runEngine(asio::io_context &Io, const Options &From);
@@ -79,5 +85,7 @@
 void runLog(asio::io_context &Io, const Options &From);
 void runHosts(asio::io_context &Io, const Options &From);
 void runCloud(asio::io_context &Io, const Options &From);
+void runStore(asio::io_context &Io, const Options &From);
+void runServer(asio::io_context &Io, const Options &From);
 
 } // namespace standin
