--- a/src/client.cpp
+++ b/src/client.cpp
@@ -330,7 +330,10 @@
       End = TransferEnd::Stopped;
     else if (T.Sends_ == 0)
       End = TransferEnd::NotSent;
-    finish(T, End, Code == CURLE_OK ? "" : curl_easy_strerror(Code));
+    std::string Detail = Code == CURLE_OK ? "" : curl_easy_strerror(Code);
+    if (T.Sends_ > 1)
+      Detail = "the connection had ended without an answer";
+    finish(T, End, std::move(Detail));
   }
 }
 
--- a/src/resume.cpp
+++ b/src/resume.cpp
@@ -8,6 +8,7 @@
 #include "handover.h"
 #include "outcomes.h"
 #include "record.h"
+#include "usage.h"
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -161,6 +162,9 @@
   if (C == nullptr)
     return;
   count(S, "callers_gone");
+  const bool Plain = C->Request_.Kind_ == CallKind::Routed && !C->Events_;
+  if (Plain && C->Phase_ == CallPhase::Running)
+    noteBegan(S, *C); // its upstream had it
   // A call that may not be repeated runs to its end: its outcome is what a
   // caller who asks again with the same key gets.
   if (C->Request_.Kind_ == CallKind::Service && isUnrepeatableCall(S, *C) &&
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -238,6 +238,9 @@
   const bool Untouched = E.Failure_ == AttemptFailure::NotSent ||
                          E.Failure_ == AttemptFailure::Refused ||
                          E.Failure_ == AttemptFailure::OtherHost;
+  // What broke off after it was sent has most likely begun.
+  if (!Untouched)
+    noteBegan(S, C);
   if (Untouched)
     retryUntouched(S, C, E, Out);
   else if (mayRunAgain(S, C))
--- a/src/state.h
+++ b/src/state.h
@@ -123,6 +123,7 @@
   Millis Objective_ = 0;    ///< For the answer or the first event.
   Millis QueuedAt_ = 0;     ///< Since when it waits.
   double Units_ = 0;        ///< Charged to the account's quota.
+  bool Began_ = false;      ///< Counted in the account's usage.
   std::vector<std::int64_t> BlockTokens_; ///< Of the prompt up to each block.
   int HeadStatus_ = 0; ///< Of the first upstream's answer, until it is sent.
   Headers Head_;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -13,10 +13,10 @@
 
 namespace {
 
-constexpr Millis SumsPeriod = 250;       // ms between two messages
+constexpr Millis SumsPeriod = 250;      // ms between two messages
 constexpr Millis LargeSumsPeriod = 500; // ms, in a large group
-constexpr std::size_t LargeGroup = 8;    // processes
-constexpr Millis OldLoads = 2000;        // ms; older ones say nothing
+constexpr std::size_t LargeGroup = 8;   // processes
+constexpr Millis OldLoads = 2000;       // ms; older ones say nothing
 constexpr std::int64_t UsageWindowsTold = 4;
 
 std::uint32_t upstreamHash(const Upstream &U) {
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -102,9 +102,11 @@
   Found->second = std::max(Found->second, Ahead);
 }
 
-void noteBegan(State &S, const Call &C) {
-  if (!C.Account_.empty())
-    ++S.Usage_.Own_[usageWindow(S)][C.Account_];
+void noteBegan(State &S, Call &C) {
+  if (C.Account_.empty() || C.Began_)
+    return;
+  C.Began_ = true;
+  ++S.Usage_.Own_[usageWindow(S)][C.Account_];
 }
 
 void applyUsage(State &S, const UsageRecord &R, Effects &Out) {
--- a/src/usage.h
+++ b/src/usage.h
@@ -6,8 +6,8 @@
 
 namespace endivewharf {
 
-/// Counts a call that has begun to run, in the window of this moment.
-void noteBegan(State &S, const Call &C);
+/// Counts a call that has begun to run, once, in the window of this moment.
+void noteBegan(State &S, Call &C);
 
 /// Decides the counts of windows that are over, writes them to the log and
 /// then reports them; a successor repeats exactly what the log has.
