No notices are read where the platform's list tells who leaves

Cause: the own interface's notices were read four times a second from an API that has no such call; each was priced. Change and test: neither notices nor probes on the platform.

--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -226,7 +226,9 @@
     S.HostsDiffer_ = false;
     Out.push_back(ReadHosts{});
   }
-  const bool HasCloud = !S.Settings_.CloudUrl_.empty();
+  // On the platform leaving hosts say so in the list.
+  const bool HasCloud =
+      !S.Settings_.CloudUrl_.empty() && !S.Settings_.onPlatform();
   if (HasCloud &&
       (S.NoticesReadAt_ < 0 || S.Now_ - S.NoticesReadAt_ >= NoticePeriod)) {
     S.NoticesReadAt_ = S.Now_;
--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -179,6 +179,14 @@
   EXPECT_TRUE(Back);
 }
 
+TEST_F(RoutedTest, process_onThePlatform_asksForNothingThatIsNotThere) {
+  for (int I = 0; I < 40; ++I) {
+    after(50);
+    EXPECT_FALSE(one<ReadNotices>());
+    EXPECT_FALSE(one<ProbeUpstream>());
+  }
+}
+
 TEST_F(RoutedTest, host_missingJustAfterTheStoreReturned_staysForAMoment) {
   auto Rows = hosts();
   Rows.erase(Rows.begin() + 2);
