--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -17,21 +17,6 @@
 
 TransferEnd endOf(const HttpResult &Result) { return Result.End_; }
 
-AttemptFailure failureOf(TransferEnd End) {
-  switch (End) {
-  case TransferEnd::NotSent:
-    return AttemptFailure::NotSent;
-  case TransferEnd::Silent:
-    return AttemptFailure::Silent;
-  case TransferEnd::Stopped:
-    return AttemptFailure::Garbage;
-  case TransferEnd::Complete:
-  case TransferEnd::Broken:
-    break;
-  }
-  return AttemptFailure::Broken;
-}
-
 std::string_view routePath(std::string_view Route) {
   return Route == "completions" ? "/v1/completions" : "/v1/chat/completions";
 }
@@ -52,6 +37,21 @@
 
 } // namespace
 
+AttemptFailure failureOf(TransferEnd End) {
+  switch (End) {
+  case TransferEnd::NotSent:
+    return AttemptFailure::NotSent;
+  case TransferEnd::Silent:
+    return AttemptFailure::Silent;
+  case TransferEnd::Stopped:
+    return AttemptFailure::Garbage;
+  case TransferEnd::Complete:
+  case TransferEnd::Broken:
+    break;
+  }
+  return AttemptFailure::Broken;
+}
+
 struct AttemptRunner::Running {
   AttemptId Attempt_ = 0;
   std::uint64_t Transfer_ = 0;
--- a/src/attempts.h
+++ b/src/attempts.h
@@ -12,6 +12,9 @@
 
 using EventSink = std::function<void(EventBody)>;
 
+/// What the end of an exchange without a whole answer means for its attempt.
+AttemptFailure failureOf(TransferEnd End);
+
 class AttemptRunner {
 public:
   AttemptRunner(HttpClient &Client, EventSink Sink, std::int64_t MaxAnswer)
--- a/src/client.h
+++ b/src/client.h
@@ -51,6 +51,11 @@
   Headers Headers_;
 };
 
+/// @return true for a complete answer with status 200
+inline bool isOk(const HttpResult &Result) {
+  return Result.End_ == TransferEnd::Complete && Result.Status_ == 200;
+}
+
 /// Gets the head of an answer before its body.
 using HeadSink = std::function<void(int Status, const Headers &Head)>;
 /// Gets body bytes; returns false to stop the transfer.
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,6 +1,7 @@
 // RESTinio servers for callers and operators.
 #include "http.h"
 
+#include "pending.h"
 #include "webserver.h"
 
 #include <algorithm>
@@ -8,7 +9,6 @@
 #include <chrono>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
-#include <unordered_map>
 
 namespace endivewharf {
 
@@ -209,9 +209,7 @@
   OperatorViews Views_;
   std::unique_ptr<WebServer> Callers_;
   std::unique_ptr<WebServer> Operators_;
-  std::unordered_map<CallId, Pending> Pending_;
-  std::unordered_multimap<restinio::connection_id_t, CallId> ByConnection_;
-  CallId NextCall_ = 1;
+  PendingCalls<Pending> Calls_;
   asio::steady_timer PingTimer_;
   bool Closing_ = false;
   int Unwritten_ = 0; ///< Last pieces of answers that are being written.
@@ -221,19 +219,11 @@
       : Io_(Io), Settings_(From), Sink_(std::move(Sink)),
         Views_(std::move(Views)), PingTimer_(Io) {}
 
-  Pending *find(CallId Id) {
-    const auto Found = Pending_.find(Id);
-    return Found == Pending_.end() ? nullptr : &Found->second;
-  }
-
   CallId keep(const restinio::request_handle_t &Request, bool Chat) {
-    const CallId Id = NextCall_++;
     Pending New;
     New.Request_ = Request;
     New.Chat_ = Chat;
-    ByConnection_.emplace(Request->connection_id(), Id);
-    Pending_.emplace(Id, std::move(New));
-    return Id;
+    return Calls_.keep(Request->connection_id(), std::move(New));
   }
 
   /// Counts a last write until it is done.
@@ -309,7 +299,7 @@
                   std::string_view RequestId) {
     const auto Query = Request->header().query();
     const CallId Id = keep(Request, true);
-    Pending_.at(Id).Resumed_ = true;
+    Calls_.find(Id)->Resumed_ = true;
     Sink_(ResumeArrived{Id, std::string(RequestId), bearerKey(*Request),
                         queryNumber({Query.data(), Query.size()}, "from")});
     return restinio::request_accepted();
@@ -342,12 +332,7 @@
 
   /// Callers of requests that are pending on a connection have left.
   void closed(restinio::connection_id_t Connection) {
-    const auto [First, Last] = ByConnection_.equal_range(Connection);
-    std::vector<CallId> Left;
-    for (auto I = First; I != Last; ++I)
-      Left.push_back(I->second);
-    ByConnection_.erase(First, Last);
-    for (const CallId Id : Left)
+    for (const CallId Id : Calls_.onConnection(Connection))
       gone(Id);
   }
 
@@ -361,29 +346,14 @@
   }
 
   void gone(CallId Id) {
-    if (forget(Id))
+    if (Calls_.forget(Id))
       Sink_(CallerGone{Id});
   }
 
-  /// @return false if the request had been answered
-  bool forget(CallId Id) {
-    const auto Found = Pending_.find(Id);
-    if (Found == Pending_.end())
-      return false;
-    const auto [First, Last] =
-        ByConnection_.equal_range(Found->second.Request_->connection_id());
-    const auto Entry = std::find_if(
-        First, Last, [Id](const auto &Row) { return Row.second == Id; });
-    if (Entry != Last)
-      ByConnection_.erase(Entry);
-    Pending_.erase(Found);
-    return true;
-  }
-
   void finish(CallId Id, Pending &P, std::string Bytes) {
     P.Stream_->append_chunk(std::move(Bytes));
     P.Stream_->done(lastWrite());
-    forget(Id);
+    Calls_.forget(Id);
   }
 
   /// Keeps quiet streams open and notices callers that have gone.
@@ -393,12 +363,11 @@
       if (Error)
         return;
       const Millis Now = monotonicNow();
-      std::vector<CallId> Quiet;
-      for (const auto &[Id, P] : Pending_)
-        if (P.Stream_ && Now - P.LastWrite_ >= QuietBeforePing)
-          Quiet.push_back(Id);
+      const auto Quiet = Calls_.those([Now](const Pending &P) {
+        return P.Stream_ && Now - P.LastWrite_ >= QuietBeforePing;
+      });
       for (const CallId Id : Quiet)
-        if (Pending *P = find(Id))
+        if (Pending *P = Calls_.find(Id))
           write(Id, *P, ": ping\n\n");
       armPings();
     });
@@ -435,7 +404,7 @@
 }
 
 void HttpEdge::operator()(const StartStream &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr)
     return;
   P->RequestId_ = E.RequestId_;
@@ -449,7 +418,7 @@
 }
 
 void HttpEdge::operator()(const SendToken &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr || !P->Stream_)
     return;
   const std::string Text = jsonText(E.Text_);
@@ -469,7 +438,7 @@
 }
 
 void HttpEdge::operator()(const FinishStream &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr || !P->Stream_)
     return;
   const std::string Choice = fmt::format(
@@ -484,7 +453,7 @@
 }
 
 void HttpEdge::operator()(const MoveStream &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr)
     return;
   if (!P->Stream_) {
@@ -501,7 +470,7 @@
 }
 
 void HttpEdge::operator()(const ReplyWhole &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr)
     return;
   Json Choice = {{"index", 0}, {"finish_reason", E.FinishReason_}};
@@ -524,11 +493,11 @@
   Impl_->addCommonHeaders(Response);
   Response.set_body(dumpJson(Body));
   Response.done(Impl_->lastWrite());
-  Impl_->forget(E.Call_);
+  Impl_->Calls_.forget(E.Call_);
 }
 
 void HttpEdge::operator()(const ReplyService &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr)
     return;
   auto Response = P->Request_->create_response(restinio::http_status_line_t{
@@ -542,11 +511,11 @@
   Impl_->addCommonHeaders(Response);
   Response.set_body(E.Body_);
   Response.done(Impl_->lastWrite());
-  Impl_->forget(E.Call_);
+  Impl_->Calls_.forget(E.Call_);
 }
 
 void HttpEdge::operator()(const RefuseCall &E) {
-  Pending *P = Impl_->find(E.Call_);
+  Pending *P = Impl_->Calls_.find(E.Call_);
   if (P == nullptr)
     return;
   if (P->Stream_) {
@@ -565,7 +534,7 @@
   Impl_->addCommonHeaders(Response);
   Response.set_body(errorBody(E.RequestId_, E.Error_));
   Response.done(Impl_->lastWrite());
-  Impl_->forget(E.Call_);
+  Impl_->Calls_.forget(E.Call_);
 }
 
 void HttpEdge::closeListener() {
@@ -574,7 +543,7 @@
 }
 
 bool HttpEdge::isIdle() const {
-  return Impl_->Pending_.empty() && Impl_->Unwritten_ == 0;
+  return Impl_->Calls_.empty() && Impl_->Unwritten_ == 0;
 }
 
 } // namespace endivewharf
--- /dev/null
+++ b/src/pending.h
@@ -0,0 +1,76 @@
+// Requests of callers that have no final answer yet, by number and connection.
+#pragma once
+
+#include "types.h"
+
+#include <algorithm>
+#include <cstdint>
+#include <unordered_map>
+#include <vector>
+
+namespace endivewharf {
+
+/// @tparam T what is kept of a request
+template <typename T> class PendingCalls {
+public:
+  /// Keeps a request under a new number.
+  CallId keep(std::uint64_t Connection, T Value) {
+    const CallId Id = NextCall_++;
+    ByConnection_.emplace(Connection, Id);
+    ById_.emplace(Id, Row{Connection, std::move(Value)});
+    return Id;
+  }
+
+  T *find(CallId Id) {
+    const auto Found = ById_.find(Id);
+    return Found == ById_.end() ? nullptr : &Found->second.Value_;
+  }
+
+  /// @return false if the request had been answered
+  bool forget(CallId Id) {
+    const auto Found = ById_.find(Id);
+    if (Found == ById_.end())
+      return false;
+    const auto [First, Last] =
+        ByConnection_.equal_range(Found->second.Connection_);
+    const auto Entry = std::find_if(
+        First, Last, [Id](const auto &Other) { return Other.second == Id; });
+    if (Entry != Last)
+      ByConnection_.erase(Entry);
+    ById_.erase(Found);
+    return true;
+  }
+
+  /// Requests that are pending on a connection.
+  std::vector<CallId> onConnection(std::uint64_t Connection) const {
+    const auto [First, Last] = ByConnection_.equal_range(Connection);
+    std::vector<CallId> Ids;
+    for (auto Entry = First; Entry != Last; ++Entry)
+      Ids.push_back(Entry->second);
+    return Ids;
+  }
+
+  /// Numbers of the requests for which a condition holds.
+  template <typename Condition>
+  std::vector<CallId> those(Condition Holds) const {
+    std::vector<CallId> Ids;
+    for (const auto &[Id, Entry] : ById_)
+      if (Holds(Entry.Value_))
+        Ids.push_back(Id);
+    return Ids;
+  }
+
+  bool empty() const { return ById_.empty(); }
+
+private:
+  struct Row {
+    std::uint64_t Connection_ = 0;
+    T Value_;
+  };
+
+  std::unordered_map<CallId, Row> ById_;
+  std::unordered_multimap<std::uint64_t, CallId> ByConnection_;
+  CallId NextCall_ = 1;
+};
+
+} // namespace endivewharf
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -25,10 +25,6 @@
   fetchWhole(Client, std::move(Request), MaxReply, std::move(Done));
 }
 
-bool isOk(const HttpResult &Result) {
-  return Result.End_ == TransferEnd::Complete && Result.Status_ == 200;
-}
-
 HostRow hostOf(const Json &Item) {
   HostRow Row;
   Row.Host_.Name_ = Item.at("name").get<std::string>();
