--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -15,7 +15,7 @@
 constexpr Millis FreshSums = 1500;     // ms; older ones count as silence
 constexpr double SlackPart = 0.3;      // of the slack, that may be gone into
 constexpr double StartPart = 0.3;      // of a bucket, for a process just begun
-constexpr double StartSum = 2;         // buckets, for all that begin at once
+constexpr double StartSum = 1;         // buckets, for all that begin at once
 constexpr Millis MaxQuotaRetry = 5000; // ms
 constexpr Millis MinQuotaRetry = 100;  // ms
 
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -92,11 +92,11 @@
   EXPECT_LE(S_.Quotas_.Accounts_.at("buyers").Part_, 0.5);
 }
 
-TEST_F(QuotaTest, manyProcesses_beginAtOnce_admitFewBucketsTogether) {
+TEST_F(QuotaTest, manyProcesses_beginAtOnce_admitOneBucketTogether) {
   constexpr std::size_t Processes = 34;
   S_.Membership_.Largest_ = Processes;
   // Each of them begins like this one and has heard nothing yet.
-  EXPECT_LE(admitted(10, 100) * Processes, 2 * 1000 + Processes * 10);
+  EXPECT_LE(admitted(10, 100) * Processes, 1000 + Processes * 10);
 }
 
 TEST_F(QuotaTest, call_refusedUnrun_isGivenBack) {
