--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -12,6 +12,13 @@
 
 namespace {
 
+/// Ports of one entry process.
+struct EntryPorts {
+  int Callers_ = 0;
+  int Operators_ = 0;
+  int Peers_ = 0;
+};
+
 class PlatformProcessTest : public ::testing::Test {
 protected:
   static constexpr int Entries = 2;
@@ -31,8 +38,8 @@
       standin(Name, "server", Servers_.back(),
               {"--name=" + Name, "--token_ms=10"});
     }
-    for (int I = 0; I < 3 * Entries; ++I)
-      Ports_.push_back(freePort());
+    for (int I = 0; I < Entries; ++I)
+      Ports_.push_back({freePort(), freePort(), freePort()});
     ASSERT_TRUE(waitFor([&] { return put("keyed.op", "config", config()); }));
     beat();
     for (int I = 0; I < Entries; ++I)
@@ -62,7 +69,8 @@
         "peer_listen = 127.0.0.1:{3}\n[platform]\nstore = "
         "http://127.0.0.1:{4}\ncloud = http://127.0.0.1:{5}\n[limits]\n"
         "drain = 5s\nstop_margin = 500ms\nunready = 500ms\nlease = 1500ms\n",
-        I, Ports_[3 * I], Ports_[3 * I + 1], Ports_[3 * I + 2], Store_, Cloud_);
+        I, Ports_[I].Callers_, Ports_[I].Operators_, Ports_[I].Peers_, Store_,
+        Cloud_);
     Children_[fmt::format("entry-{}", I)] = std::make_unique<Child>(
         std::vector<std::string>{std::string(BINARY_DIR) + "/endivewharf",
                                  "serve", "--settings=" + File},
@@ -118,11 +126,11 @@
 
   HttpAnswer get(int Entry, const std::string &Path, const std::string &Id,
                  const std::string &Key = "k1") const {
-    return http("GET",
-                fmt::format("http://127.0.0.1:{}{}", Ports_[3 * Entry], Path),
-                "",
-                {"Host: shop.example", "Request-Id: " + Id, "Deadline-Ms: 4000",
-                 "Authorization: Token " + Key});
+    return http(
+        "GET",
+        fmt::format("http://127.0.0.1:{}{}", Ports_[Entry].Callers_, Path), "",
+        {"Host: shop.example", "Request-Id: " + Id, "Deadline-Ms: 4000",
+         "Authorization: Token " + Key});
   }
 
   Json books(int Server) const {
@@ -140,7 +148,7 @@
   int Store_ = 0;
   int Cloud_ = 0;
   std::vector<int> Servers_;
-  std::vector<int> Ports_;
+  std::vector<EntryPorts> Ports_;
   std::map<std::string, std::unique_ptr<Child>> Children_;
 };
 
