A process that begins counts all it has read of, not those it has heard

Cause: a process took itself for the only one until its peers' first digests came. Ruled out: the delay of sums. Change: the group's size is the largest of the living seen, the members known from the log, and, for 5 s after the start, the seeds.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t Followers = 3;           // of the platform's store
 constexpr std::uint64_t FollowerSeed = 4;      // of the hash that ranks them
 constexpr Millis FollowerSilence = 2500;       // ms without sums
+constexpr Millis SeedsCount = 5000;  // ms after the start; then peers are known
 constexpr Millis GreetPeriod = 500;  // ms between digests to unknown seeds
 constexpr Millis ForgetTime = 20000; // ms of silence
 constexpr std::size_t Judges = 3;    // processes that collect evidence
@@ -315,6 +316,13 @@
 
 } // namespace
 
+std::size_t groupSize(const State &S) {
+  const std::size_t Known = S.Membership_.Members_.size() + 1;
+  const bool New = S.Now_ - S.StartedAt_ < SeedsCount;
+  return std::max({S.Membership_.Largest_, Known,
+                   New ? S.Settings_.Seeds_.size() : std::size_t{1}});
+}
+
 bool followsStore(const State &S) {
   if (S.Membership_.Largest_ <= Followers + 1)
     return true;
--- a/src/membership.h
+++ b/src/membership.h
@@ -12,6 +12,9 @@
 /// Learns from the log where a process is reached.
 void onJoin(State &S, const JoinRecord &R, Effects &Out);
 
+/// @return processes that there may be, with this one, heard or not
+std::size_t groupSize(const State &S);
+
 /// Few processes follow the platform's store closely and tell the others what
 /// they see; in a small group all do.
 /// @return true if this process is one of them
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -3,6 +3,8 @@
 // second; a copy may go into debt, which is paid back before more is admitted.
 #include "quota.h"
 
+#include "membership.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -28,8 +30,7 @@
 }
 
 double equalPart(const State &S) {
-  return 1.0 /
-         static_cast<double>(std::max<std::size_t>(1, S.Membership_.Largest_));
+  return 1.0 / static_cast<double>(groupSize(S));
 }
 
 const DemandRow *demandRow(const Member &M, const std::string &Account) {
@@ -58,7 +59,7 @@
     ++Unheard;
     Silent += Demand;
   }
-  if (Unheard == 0 && Heard >= S.Membership_.Largest_)
+  if (Unheard == 0 && Heard >= groupSize(S))
     return 1;
   const double Equal = equalPart(S);
   const double ByDemand = Sum > 0 ? 1 - Silent / Sum : 1;
