Usage is counted by life of a process and saved while a window is open

Cause: what an ended life had counted was forgotten with its peer's next sums, a restart of all forgot everything, and a window was decided 1.5 s after its end whether or not processes in a cut had told their part. Change: counts are kept by life; the holder of the lease saves those of open windows to the log twice a second; a window is decided when all known processes have told, after 5 s at the latest (reports are due after 10 s); one that began before this life is decided from the log. Tests: four; two were seen red with the old rule put back (both lives of a peer, a peer in a cut), the one of the log needs the new record.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -225,6 +225,16 @@
   F("rows", R.Rows_);
 }
 
+template <Is<LifeUsageRow> T, typename V> void fields(T &R, V &&F) {
+  F("life", R.Life_);
+  F("account", R.Account_);
+  F("count", R.Count_);
+}
+template <Is<UsageCountsRecord> T, typename V> void fields(T &R, V &&F) {
+  F("window", R.Window_);
+  F("rows", R.Rows_);
+}
+
 template <typename T>
 concept HasFields = requires(T &R) {
   fields(R, [](auto &&...) {});
@@ -333,9 +343,9 @@
     "control_request", "handover",   "handover_ack",
     "find_call",       "found_call", "sums"};
 constexpr std::array RecordNames = {
-    "config",     "note",     "lease_acquire", "lease_renew",
-    "share",      "verdict",  "claim",         "claim_release",
-    "claim_done", "snapshot", "join",          "usage"};
+    "config",  "note",  "lease_acquire", "lease_renew", "share",
+    "verdict", "claim", "claim_release", "claim_done",  "snapshot",
+    "join",    "usage", "usage_counts"};
 static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>);
 static_assert(RecordNames.size() == std::variant_size_v<LogRecord>);
 
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -120,6 +120,7 @@
   void operator()(const ClaimDoneRecord &R) const { onClaimDone(S_, R, Out_); }
   void operator()(const JoinRecord &R) const { onJoin(S_, R, Out_); }
   void operator()(const UsageRecord &R) const { applyUsage(S_, R, Out_); }
+  void operator()(const UsageCountsRecord &R) const { noteCounts(S_, R); }
 
 private:
   void reject(std::string Why) const {
--- a/src/messages.h
+++ b/src/messages.h
@@ -310,10 +310,25 @@
   std::vector<UsageRow> Rows_;
 };
 
+/// Requests that began to run in one life of a process.
+struct LifeUsageRow {
+  Life Life_;
+  std::string Account_;
+  std::int64_t Count_ = 0;
+};
+
+/// What is known of a window before it is decided, so that a restart of all
+/// processes loses little; each later record holds all of the earlier ones.
+struct UsageCountsRecord {
+  std::int64_t Window_ = 0;
+  std::vector<LifeUsageRow> Rows_;
+};
+
 using LogRecord =
     std::variant<ConfigRecord, NoteRecord, LeaseAcquireRecord, LeaseRenewRecord,
                  ShareRecord, VerdictRecord, ClaimRecord, ClaimReleaseRecord,
-                 ClaimDoneRecord, SnapshotRecord, JoinRecord, UsageRecord>;
+                 ClaimDoneRecord, SnapshotRecord, JoinRecord, UsageRecord,
+                 UsageCountsRecord>;
 
 /// A record at its place; empty if it could not be understood.
 struct LogEntry {
--- a/src/state.h
+++ b/src/state.h
@@ -317,7 +317,9 @@
 using UsageCounts = std::map<std::string, std::int64_t>;
 
 struct UsageState {
-  std::map<std::int64_t, UsageCounts> Own_;     ///< By window.
+  std::map<std::int64_t, UsageCounts> Own_; ///< By window, of this life.
+  /// By window, of other lives, as their processes and the log have told.
+  std::map<std::int64_t, std::map<Life, UsageCounts>> Others_;
   std::map<std::int64_t, UsageCounts> Decided_; ///< As the log has them.
   std::set<std::int64_t> Asked_;    ///< Windows whose record is on its way.
   std::set<std::int64_t> Reported_; ///< Windows that the platform has taken.
@@ -325,6 +327,7 @@
   Millis SentAt_ = 0;
   Millis AskedAt_ = 0;
   std::int64_t FirstWindow_ = 0; ///< Of this life; earlier ones are others'.
+  Millis SavedAt_ = 0;           ///< Counts of the open windows.
   std::map<std::int64_t, std::vector<UsageRow>> Proposed_; ///< As asked for.
   std::map<std::string, std::int64_t> PeersAhead_; ///< Their time less ours.
   bool ClockSettled_ = false;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -97,6 +97,7 @@
   Found->second.SumsLife_ = From.Incarnation_;
   Found->second.Sums_ = M;
   Found->second.SumsAt_ = S.Now_;
+  noteUsage(S, From, M.Usage_);
   noteClock(S, From.Name_, M.UnixMs_);
   adoptRollouts(S, M.Moves_, Out);
   if (M.ConfigVersion_ > S.Config_.Version_)
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -12,22 +12,32 @@
 
 namespace {
 
-constexpr Millis SettleTime = 1500;     // ms after a window, for peers' counts
-constexpr Millis AskAgain = 2000;       // ms until a lost record is repeated
-constexpr Millis ReportAgain = 1200;    // ms until a lost report is repeated
-constexpr std::int64_t KeptWindows = 8; // that may still be reported
+constexpr Millis SettleTime = 1500; // ms after a window, for peers' counts
+constexpr Millis LongestSettleTime = 5000; // ms, for peers that are silent
+constexpr Millis SavePeriod = 500;         // ms between two savings of counts
+constexpr Millis AskAgain = 2000;          // ms until a lost record is repeated
+constexpr Millis ReportAgain = 1200;       // ms until a lost report is repeated
+constexpr std::int64_t KeptWindows = 8;    // that may still be reported
 constexpr std::int64_t ClockTolerance = 300; // ms between two true clocks
 constexpr Millis ClockSettleTime = 1500;     // ms in which peers are heard
 
-std::vector<UsageRow> sumOf(const State &S, std::int64_t Window) {
-  UsageCounts Sum;
+/// All counts of a window, by life.
+std::map<Life, UsageCounts> countsOf(const State &S, std::int64_t Window) {
+  std::map<Life, UsageCounts> Counts;
+  const auto Others = S.Usage_.Others_.find(Window);
+  if (Others != S.Usage_.Others_.end())
+    Counts = Others->second;
   const auto Own = S.Usage_.Own_.find(Window);
   if (Own != S.Usage_.Own_.end())
-    Sum = Own->second;
-  for (const auto &[Name, M] : S.Membership_.Members_)
-    for (const UsageRow &Row : M.Sums_.Usage_)
-      if (Row.Window_ == Window)
-        Sum[Row.Account_] += Row.Count_;
+    Counts[S.Self_] = Own->second;
+  return Counts;
+}
+
+std::vector<UsageRow> sumOf(const State &S, std::int64_t Window) {
+  UsageCounts Sum;
+  for (const auto &[Who, Counts] : countsOf(S, Window))
+    for (const auto &[Account, Count] : Counts)
+      Sum[Account] += Count;
   std::vector<UsageRow> Rows;
   for (const auto &[Account, Count] : Sum)
     Rows.push_back({Window, Account, Count});
@@ -46,6 +56,57 @@
   appendRecord(S, UsageRecord{S.Lease_.Epoch_, Window, Found->second});
 }
 
+/// Counts of a life only grow, so the larger one is the later one.
+void raise(State &S, std::int64_t Window, const Life &Who,
+           const std::string &Account, std::int64_t Count) {
+  if (Who == S.Self_ || Window <= usageWindow(S) - KeptWindows)
+    return;
+  std::int64_t &Known = S.Usage_.Others_[Window][Who][Account];
+  Known = std::max(Known, Count);
+}
+
+/// Saves the counts of windows that are not decided yet.
+void saveCounts(State &S) {
+  UsageState &U = S.Usage_;
+  if (S.Now_ - U.SavedAt_ < SavePeriod)
+    return;
+  U.SavedAt_ = S.Now_;
+  const std::int64_t Current = usageWindow(S);
+  for (std::int64_t W = Current - 1; W <= Current; ++W) {
+    UsageCountsRecord R;
+    R.Window_ = W;
+    if (U.Decided_.count(W) == 0)
+      for (const auto &[Who, Counts] : countsOf(S, W))
+        for (const auto &[Account, Count] : Counts)
+          R.Rows_.push_back({Who, Account, Count});
+    if (!R.Rows_.empty())
+      appendRecord(S, std::move(R));
+  }
+}
+
+/// @return true if every process known has told its counts since then
+bool allHeardSince(const State &S, Millis Then) {
+  return std::all_of(
+      S.Membership_.Members_.begin(), S.Membership_.Members_.end(),
+      [&](const auto &Entry) { return Entry.second.SumsAt_ >= Then; });
+}
+
+/// A window is decided when all have told what they counted in it, or when
+/// waiting longer for the silent ones would make its report late.
+bool isSettled(const State &S, std::int64_t Window) {
+  const Millis Since =
+      trueUnixMs(S) - (Window + 1) * S.Settings_.Bounds_.UsageWindow_;
+  if (Since < SettleTime)
+    return false;
+  return Since >= LongestSettleTime ||
+         allHeardSince(S, S.Now_ - Since + SettleTime / 2);
+}
+
+/// @return true if this process knows what ran in a window
+bool isKnown(const State &S, std::int64_t Window) {
+  return Window >= S.Usage_.FirstWindow_ || S.Usage_.Others_.count(Window) > 0;
+}
+
 void report(State &S, std::int64_t Window, Effects &Out) {
   S.Usage_.Reporting_ = Window;
   S.Usage_.SentAt_ = S.Now_;
@@ -109,6 +170,16 @@
   ++S.Usage_.Own_[usageWindow(S)][C.Account_];
 }
 
+void noteUsage(State &S, const Life &From, std::span<const UsageRow> Rows) {
+  for (const UsageRow &Row : Rows)
+    raise(S, Row.Window_, From, Row.Account_, Row.Count_);
+}
+
+void noteCounts(State &S, const UsageCountsRecord &R) {
+  for (const LifeUsageRow &Row : R.Rows_)
+    raise(S, R.Window_, Row.Life_, Row.Account_, Row.Count_);
+}
+
 void applyUsage(State &S, const UsageRecord &R, Effects &Out) {
   UsageCounts Counts;
   for (const UsageRow &Row : R.Rows_)
@@ -139,6 +210,7 @@
   const std::int64_t Current = usageWindow(S);
   const std::int64_t Oldest = Current - KeptWindows;
   dropBefore(U.Own_, Oldest);
+  dropBefore(U.Others_, Oldest);
   dropBefore(U.Decided_, Oldest);
   dropBefore(U.Reported_, Oldest);
   dropBefore(U.Asked_, Oldest);
@@ -147,11 +219,11 @@
     return;
   if (!U.Asked_.empty() && S.Now_ - U.AskedAt_ > AskAgain)
     U.Asked_.clear();
-  const std::int64_t Settled =
-      (trueUnixMs(S) - SettleTime) / S.Settings_.Bounds_.UsageWindow_ - 1;
-  for (std::int64_t W = std::max(Oldest, U.FirstWindow_); W <= Settled; ++W)
-    if (U.Decided_.count(W) == 0 && U.Asked_.count(W) == 0 && isInTime(S, W))
+  for (std::int64_t W = Oldest; W < Current; ++W)
+    if (U.Decided_.count(W) == 0 && U.Asked_.count(W) == 0 && isKnown(S, W) &&
+        isSettled(S, W) && isInTime(S, W))
       decide(S, W);
+  saveCounts(S);
   if (U.Reporting_ >= 0 && S.Now_ - U.SentAt_ < ReportAgain)
     return;
   for (const auto &[Window, Counts] : U.Decided_)
--- a/src/usage.h
+++ b/src/usage.h
@@ -4,8 +4,16 @@
 
 #include "state.h"
 
+#include <span>
+
 namespace endivewharf {
 
+/// Takes what a peer has counted in its present life.
+void noteUsage(State &S, const Life &From, std::span<const UsageRow> Rows);
+
+/// Takes what was saved in the log of a window.
+void noteCounts(State &S, const UsageCountsRecord &R);
+
 /// Counts a call that has begun to run, once, in the window of this moment.
 void noteBegan(State &S, Call &C);
 
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -16,8 +16,11 @@
       after(50);
       const Effects Now = All_;
       for (const Effect &E : Now) {
-        if (const auto *Append = std::get_if<AppendToLog>(&E))
+        if (const auto *Append = std::get_if<AppendToLog>(&E)) {
+          Written_.insert(Written_.end(), Append->Records_.begin(),
+                          Append->Records_.end());
           appended(*Append);
+        }
         if (const auto *Report = std::get_if<ReportUsage>(&E)) {
           Reports_.push_back(*Report);
           if (Answering_)
@@ -27,22 +30,45 @@
     }
   }
 
+  /// @return a window that begins to be counted while this process holds the
+  /// lease
+  std::int64_t windowOfHolder() {
+    takeLease();
+    run(5200);
+    return usageWindow(S_);
+  }
+
   void book(const std::string &Key) {
     const StartAttempt Start = dispatched("/check/1");
     feed(ServiceReply{Start.Attempt_, 200, "", "ok", {}});
     (void)Key;
   }
 
+  void peerCounted(std::uint64_t Incarnation, std::int64_t Window,
+                   std::int64_t Count) {
+    hearOf("entry-2", Incarnation);
+    SumsMessage M;
+    M.Usage_.push_back({Window, "sales", Count});
+    sums("entry-2", Incarnation, M);
+  }
+
+  /// @return what was reported of an account; -1: nothing
+  std::int64_t reported(std::int64_t Window, const std::string &Account) {
+    for (const ReportUsage &R : Reports_)
+      if (R.Window_ == Window)
+        return R.Counts_.at(Account);
+    return -1;
+  }
+
   std::vector<ReportUsage> Reports_;
+  std::vector<LogRecord> Written_;
   bool Answering_ = true;
 };
 
 } // namespace
 
 TEST_F(UsageTest, window_over_isReportedOnceWithWhatRan) {
-  takeLease();
-  run(5200);
-  const std::int64_t Window = usageWindow(S_);
+  const std::int64_t Window = windowOfHolder();
   book("k2");
   book("k2");
   run(9000);
@@ -56,9 +82,7 @@
 }
 
 TEST_F(UsageTest, report_withoutAnswer_isRepeatedExactly) {
-  takeLease();
-  run(5200);
-  const std::int64_t Window = usageWindow(S_);
+  const std::int64_t Window = windowOfHolder();
   book("k2");
   Answering_ = false;
   run(5500);
@@ -74,6 +98,52 @@
       EXPECT_EQ(R.Counts_.at("sales"), 1);
 }
 
+TEST_F(UsageTest, peer_restartedInAWindow_bothItsLivesCount) {
+  const std::int64_t Window = windowOfHolder();
+  peerCounted(9, Window, 20);
+  peerCounted(10, Window, 3);
+  run(12000);
+  EXPECT_EQ(reported(Window, "sales"), 23);
+}
+
+TEST_F(UsageTest, processes_allRestarted_earlierWindowIsReportedFromTheLog) {
+  const std::int64_t Window = windowOfHolder();
+  book("k2");
+  peerCounted(9, Window, 20);
+  run(5000);
+  ASSERT_EQ(reported(Window, "sales"), -1);
+  const std::vector<LogRecord> Left = Written_;
+  start(5);
+  LogRead Page{NextOffset_, NextOffset_, true, {}};
+  for (const LogRecord &Record : Left)
+    if (std::holds_alternative<UsageCountsRecord>(Record))
+      Page.Entries_.push_back({NextOffset_++, Record});
+  Page.Next_ = NextOffset_;
+  feed(Page);
+  takeLease();
+  run(5000);
+  EXPECT_EQ(reported(Window, "sales"), 21);
+}
+
+TEST_F(UsageTest, peer_cutOffAtTheEndOfAWindow_isWaitedFor) {
+  const std::int64_t Window = windowOfHolder();
+  peerCounted(9, Window, 20);
+  while (usageWindow(S_) == Window)
+    run(50);
+  run(3000);
+  EXPECT_EQ(reported(Window, "sales"), -1);
+  peerCounted(9, Window, 45);
+  run(1000);
+  EXPECT_EQ(reported(Window, "sales"), 45);
+}
+
+TEST_F(UsageTest, peer_silentForGood_reportIsInTime) {
+  const std::int64_t Window = windowOfHolder();
+  peerCounted(9, Window, 20);
+  run(5000 + 7000);
+  EXPECT_EQ(reported(Window, "sales"), 20);
+}
+
 TEST_F(UsageTest, messages_heldUpInACut_doNotTurnTimeBack) {
   takeLease();
   hearOf("entry-2", 9);
