Lists of a follower that lags are no reason to read; bystanders ask seldom

Change: hashes of lists held in the last 1.5 s are known as old ones; bystanders repeat once a second; followers are worked out by the size of the group that is known from the log.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -324,7 +324,7 @@
 }
 
 bool followsStore(const State &S) {
-  if (S.Membership_.Largest_ <= Followers + 1)
+  if (groupSize(S) <= Followers + 1)
     return true;
   const std::uint64_t Own = hashText(S.Self_.Name_, FollowerSeed);
   const auto Before = std::count_if(
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr Millis RetryPeriod = 250;   // ms after a failure
+constexpr Millis OthersRetry = 1000;  // ms; followers' words come sooner
 constexpr Millis FollowerWait = 1500; // ms; silence shows as soon
 constexpr Millis OthersWait = 10000;  // ms; followers' words come sooner
 
@@ -50,7 +51,7 @@
     logWarning(Out, "operator_log_unavailable",
                {{"age_ms", std::to_string(S.Now_ - O.FreshAt_)}});
   O.Available_ = false;
-  O.RetryAt_ = S.Now_ + RetryPeriod;
+  O.RetryAt_ = S.Now_ + (followsStore(S) ? RetryPeriod : OthersRetry);
 }
 
 void driveOperator(State &S, Effects &Out) {
--- a/src/state.h
+++ b/src/state.h
@@ -459,6 +459,8 @@
   Millis HostsReadAt_ = -1;
   Millis HostsConfirmedAt_ = -1; ///< When a follower's list was the same.
   bool HostsDiffer_ = false;     ///< A follower's list was another one.
+  /// Hashes of the lists read here and when each was last the newest.
+  std::map<std::uint64_t, Millis> HostHashes_;
   Millis HostsFailingSince_ = 0; ///< 0: the last read of the list succeeded.
   Millis HostsBackAt_ = 0;       ///< First success after failures.
   Millis NoticesReadAt_ = -1;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -17,6 +17,7 @@
 constexpr Millis LargeSumsPeriod = 500; // ms, in a large group
 constexpr std::size_t LargeGroup = 8;   // processes
 constexpr Millis OldLoads = 2000;       // ms; older ones say nothing
+constexpr Millis OldListTime = 1500;    // ms for which a follower lags
 constexpr std::int64_t UsageWindowsTold = 4;
 
 std::uint32_t upstreamHash(const Upstream &U) {
@@ -79,11 +80,17 @@
   }
 }
 
-/// A follower's list confirms ours, or shows that it is to be read again.
+/// A follower's list confirms ours, or shows that it is to be read again; not
+/// if it is one that we had a moment ago and the follower is behind.
 void noteHostsHash(State &S, std::uint64_t Hash) {
-  if (Hash == hostsHash(S))
+  const std::uint64_t Own = hostsHash(S);
+  S.HostHashes_[Own] = S.Now_;
+  std::erase_if(S.HostHashes_, [&](const auto &Entry) {
+    return S.Now_ - Entry.second > OldListTime;
+  });
+  if (Hash == Own)
     S.HostsConfirmedAt_ = S.Now_;
-  else
+  else if (S.HostHashes_.count(Hash) == 0)
     S.HostsDiffer_ = true;
 }
 
