Hosts are ordered by the work saved after a restart; a lease's last holder takes it over

Change: the holder saves the work that it plans by; a process plans by the saved work for 8 s after its start and orders no fewer in that time; a process whose own earlier life holds the lease takes it over at once; orders sent under another lease are forgotten. Tests: four in fleet_test; a holder that started with the log's work, work too old, the own earlier lease, another's lease.

--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -186,6 +186,7 @@
   if (Found == S.Calls_.end())
     return;
   Call &C = Found->second;
+  observe(S, "request", C);
   dequeue(S, C);
   noteEnded(S, C);
   S.Claims_.Waiting_.erase(C.ClaimId_);
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -235,6 +235,11 @@
   F("rows", R.Rows_);
 }
 
+template <Is<WorkRecord> T, typename V> void fields(T &R, V &&F) {
+  F("unix_ms", R.UnixMs_);
+  F("rows", R.Rows_);
+}
+
 template <typename T>
 concept HasFields = requires(T &R) {
   fields(R, [](auto &&...) {});
@@ -345,7 +350,7 @@
 constexpr std::array RecordNames = {
     "config",  "note",  "lease_acquire", "lease_renew", "share",
     "verdict", "claim", "claim_release", "claim_done",  "snapshot",
-    "join",    "usage", "usage_counts"};
+    "join",    "usage", "usage_counts",  "work"};
 static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>);
 static_assert(RecordNames.size() == std::variant_size_v<LogRecord>);
 
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -4,6 +4,7 @@
 #include "controllog.h"
 
 #include "claims.h"
+#include "fleet.h"
 #include "lease.h"
 #include "membership.h"
 #include "record.h"
@@ -121,6 +122,7 @@
   void operator()(const JoinRecord &R) const { onJoin(S_, R, Out_); }
   void operator()(const UsageRecord &R) const { applyUsage(S_, R, Out_); }
   void operator()(const UsageCountsRecord &R) const { noteCounts(S_, R); }
+  void operator()(const WorkRecord &R) const { noteSavedWork(S_, R); }
 
 private:
   void reject(std::string Why) const {
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -3,6 +3,7 @@
 
 #include "admission.h"
 #include "calls.h"
+#include "record.h"
 #include "release.h"
 #include "router.h"
 #include <algorithm>
@@ -111,8 +112,10 @@
   ++C.Attempts_;
   ++C.Uncertain_;
   C.Phase_ = CallPhase::Running;
-  if (C.DispatchedAt_ == 0)
+  if (C.DispatchedAt_ == 0) {
     C.DispatchedAt_ = S.Now_;
+    observe(S, "queue", C);
+  }
   count(S, "attempts");
   rememberPrefix(S, C.Blocks_, Index);
 
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -1,9 +1,11 @@
 // Plans and orders hosts of services.
 #include "fleet.h"
 
+#include "controllog.h"
 #include "lease.h"
 #include "record.h"
 #include "router.h"
+#include "usage.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,6 +25,9 @@
 constexpr double SlowTime = 8000;     // ms, so that a lull is no reason
 constexpr Millis PlanPeriod = 500;    // ms between two plans
 constexpr Millis SettleTime = 4000;   // ms after the first request, to know
+constexpr Millis SavedTime = 8000;    // ms after the start, as for the averages
+constexpr Millis MaxSavedAge = 60000; // ms; older work says nothing
+constexpr double SavedTolerance = 0.15; // of the work, that may be out of date
 constexpr Millis ShrinkPatience = 3000; // ms for which less must be wanted
 constexpr Millis DryTime = 2500; // ms until spot hosts are asked for again
 constexpr Millis OrderPatience = 2000; // ms until an order counts as lost
@@ -33,6 +38,19 @@
   return fmt::format("{}|{}|{}", Service, Zone, Spot ? "spot" : "on_demand");
 }
 
+double savedWork(const State &S, const std::string &Service) {
+  for (const WorkRow &Row : S.Fleet_.Saved_.Rows_)
+    if (Row.Service_ == Service)
+      return Row.MsPerSecond_;
+  return 0;
+}
+
+/// @return true if what was saved says more than what was seen in this life
+bool goesBySavedWork(const State &S) {
+  return S.Now_ - S.StartedAt_ < SavedTime &&
+         trueUnixMs(S) - S.Fleet_.Saved_.UnixMs_ < MaxSavedAge;
+}
+
 /// Sum of what all processes have been asked for, ms of hosts' time a second.
 double workOf(const State &S, const std::string &Service) {
   const auto Own = S.Fleet_.Work_.find(Service);
@@ -43,7 +61,25 @@
     for (const WorkRow &Row : M.Sums_.Work_)
       if (M.Alive_ && Row.Service_ == Service)
         Sum += Row.MsPerSecond_;
-  return Sum;
+  return goesBySavedWork(S) ? std::max(Sum, savedWork(S, Service)) : Sum;
+}
+
+/// Saves the work of all services if it has changed enough to matter.
+void saveWork(State &S) {
+  WorkRecord Now{trueUnixMs(S), {}};
+  bool Changed = Now.UnixMs_ - S.Fleet_.Saved_.UnixMs_ > MaxSavedAge / 2;
+  for (const auto &[Name, Service] : S.Config_.Value_.Services_) {
+    if (Service.Scaling_.MaxHosts_ == 0)
+      continue;
+    const double Work = workOf(S, Name);
+    const double Saved = savedWork(S, Name);
+    Changed = Changed || std::abs(Work - Saved) > Saved * SavedTolerance;
+    Now.Rows_.push_back({Name, Work});
+  }
+  if (!Changed || Now.Rows_.empty())
+    return;
+  S.Fleet_.Saved_ = Now;
+  appendRecord(S, std::move(Now));
 }
 
 std::vector<ZoneHosts> hostsOf(const State &S, const std::string &Service,
@@ -117,7 +153,8 @@
   if (Wanted < O.Count_) {
     if (O.LessSince_ == 0)
       O.LessSince_ = S.Now_;
-    if (S.Now_ - O.LessSince_ < ShrinkPatience)
+    if (S.Now_ - O.LessSince_ < ShrinkPatience ||
+        S.Now_ - S.StartedAt_ < SavedTime)
       return;
   }
   O.LessSince_ = 0;
@@ -212,22 +249,29 @@
 void tickFleet(State &S, Effects &Out) {
   updateAverages(S);
   FleetState &F = S.Fleet_;
-  if (F.FirstWorkAt_ == 0) {
-    const bool Any =
-        std::any_of(F.Work_.begin(), F.Work_.end(),
-                    [](const auto &Entry) { return Entry.second.Fast_ > 0; });
-    F.FirstWorkAt_ = Any ? S.Now_ : 0;
-    return;
-  }
-  if (!holdsLease(S) || S.Now_ - F.FirstWorkAt_ < SettleTime ||
+  if (F.FirstWorkAt_ == 0 &&
+      std::any_of(F.Work_.begin(), F.Work_.end(),
+                  [](const auto &Entry) { return Entry.second.Fast_ > 0; }))
+    F.FirstWorkAt_ = S.Now_;
+  const bool Known =
+      F.FirstWorkAt_ != 0 && S.Now_ - F.FirstWorkAt_ >= SettleTime;
+  if (!holdsLease(S) || (!Known && !goesBySavedWork(S)) ||
       S.Now_ - F.PlannedAt_ < PlanPeriod)
     return;
   F.PlannedAt_ = S.Now_;
+  if (F.OrdersEpoch_ != S.Lease_.Epoch_) {
+    // What was ordered under another lease may not hold any more.
+    F.OrdersEpoch_ = S.Lease_.Epoch_;
+    F.Orders_.clear();
+  }
+  saveWork(S);
   for (const auto &[Name, Service] : S.Config_.Value_.Services_)
     if (Service.Scaling_.MaxHosts_ > 0)
       planService(S, Service, Out);
 }
 
+void noteSavedWork(State &S, const WorkRecord &R) { S.Fleet_.Saved_ = R; }
+
 void onHostsOrdered(State &S, const HostsOrdered &E, Effects &Out) {
   for (auto &[Key, O] : S.Fleet_.Orders_) {
     if (O.Id_ != E.Order_)
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -44,6 +44,9 @@
 /// Works out averages and, with the lease, orders what the plan wants.
 void tickFleet(State &S, Effects &Out);
 
+/// Takes the work that a holder of the lease has saved.
+void noteSavedWork(State &S, const WorkRecord &R);
+
 void onHostsOrdered(State &S, const HostsOrdered &E, Effects &Out);
 
 } // namespace endivewharf
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -27,9 +27,17 @@
   return static_cast<Millis>(static_cast<double>(Length) * ChallengerShare);
 }
 
+/// The platform runs one process of a name: with this one's start its earlier
+/// life has ended, and with it the lease that it held.
+bool heldByEarlierLife(const State &S) {
+  const Life &Holder = S.Lease_.Holder_;
+  return S.Settings_.onPlatform() && Holder.Name_ == S.Self_.Name_ &&
+         Holder.Incarnation_ < S.Self_.Incarnation_;
+}
+
 bool hasEnded(const State &S) {
   const LeaseState &L = S.Lease_;
-  return L.LastRecord_ == NoOffset || L.Released_ ||
+  return L.LastRecord_ == NoOffset || L.Released_ || heldByEarlierLife(S) ||
          S.Now_ - L.ReadAt_ > challengerTime(L.Length_);
 }
 
@@ -59,7 +67,7 @@
   if (L.FollowingSince_ < 0)
     L.FollowingSince_ = S.Now_;
   const bool Holder = L.Holder_ == S.Self_ && !L.Released_;
-  return Holder || S.Membership_.Largest_ <= SmallGroup ||
+  return Holder || heldByEarlierLife(S) || groupSize(S) <= SmallGroup ||
          S.Now_ - L.FollowingSince_ >=
              challengerTime(S.Settings_.Limits_.LeaseTime_);
 }
--- a/src/messages.h
+++ b/src/messages.h
@@ -324,11 +324,18 @@
   std::vector<LifeUsageRow> Rows_;
 };
 
+/// Work that services were asked for when hosts were planned last, so that a
+/// process that starts knows before it has seen any.
+struct WorkRecord {
+  std::int64_t UnixMs_ = 0;
+  std::vector<WorkRow> Rows_;
+};
+
 using LogRecord =
     std::variant<ConfigRecord, NoteRecord, LeaseAcquireRecord, LeaseRenewRecord,
                  ShareRecord, VerdictRecord, ClaimRecord, ClaimReleaseRecord,
                  ClaimDoneRecord, SnapshotRecord, JoinRecord, UsageRecord,
-                 UsageCountsRecord>;
+                 UsageCountsRecord, WorkRecord>;
 
 /// A record at its place; empty if it could not be understood.
 struct LogEntry {
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -8,6 +8,7 @@
 #include <fmt/format.h>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
@@ -37,12 +38,30 @@
       .Set(Value);
 }
 
+void addLatencies(prometheus::Registry &Registry, const Counters &From) {
+  constexpr double MsPerSecond = 1000;
+  prometheus::Histogram::BucketBoundaries Bounds;
+  for (const Millis Bound : LatencyBounds)
+    Bounds.push_back(static_cast<double>(Bound) / MsPerSecond);
+  for (const auto &[What, ByKind] : From.Latencies_) {
+    auto &Family = prometheus::BuildHistogram()
+                       .Name("endivewharf_" + What + "_seconds")
+                       .Help("time from a request's arrival")
+                       .Register(Registry);
+    for (const auto &[Kind, H] : ByKind)
+      Family.Add({{"kind", Kind}}, Bounds)
+          .ObserveMultiple({H.Counts_.begin(), H.Counts_.end()},
+                           H.Sum_ / MsPerSecond);
+  }
+}
+
 } // namespace
 
 std::string renderMetrics(const State &S, const EdgeTotals &Edge) {
   prometheus::Registry Registry;
   for (const auto &[Name, Value] : S.Counters_.Values_)
     addCounter(Registry, Name, "events since the start", Value);
+  addLatencies(Registry, S.Counters_);
   addCounter(Registry, "peer_bytes_sent", "bytes to other processes",
              Edge.PeerBytesSent_);
   addCounter(Registry, "peer_bytes_received", "bytes from other processes",
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -141,7 +141,7 @@
   }
   if (!C.Request_.Stream_ || E.Index_ < C.SendFrom_)
     return;
-  startStreamIfNeeded(C, Out);
+  startStreamIfNeeded(S, C, Out);
   Out.push_back(SendToken{C.Id_, E.Index_, E.Text_});
   C.SendFrom_ = E.Index_ + 1;
 }
@@ -232,16 +232,17 @@
   dispatchWaiting(S, Out);
 }
 
-void startStreamIfNeeded(Call &C, Effects &Out) {
+void startStreamIfNeeded(State &S, Call &C, Effects &Out) {
   if (!C.Request_.Stream_ || C.StreamStarted_)
     return;
   C.StreamStarted_ = true;
+  observe(S, "first_event", C);
   Out.push_back(StartStream{C.Id_, C.RequestId_, C.Request_.Model_});
 }
 
 /// Sends a finished completion's end, or the whole of it.
 void finishCompletion(State &S, Call &C, Effects &Out) {
-  startStreamIfNeeded(C, Out);
+  startStreamIfNeeded(S, C, Out);
   if (C.Request_.Stream_)
     Out.push_back(FinishStream{C.Id_, C.FinishReason_, C.NextIndex_});
   else
--- a/src/outcomes.h
+++ b/src/outcomes.h
@@ -11,7 +11,7 @@
 void onServiceReply(State &S, const ServiceReply &E, Effects &Out);
 
 /// Sends the head of a streamed answer, once.
-void startStreamIfNeeded(Call &C, Effects &Out);
+void startStreamIfNeeded(State &S, Call &C, Effects &Out);
 
 /// Sends a finished completion's end, or the whole of it.
 void finishCompletion(State &S, Call &C, Effects &Out);
--- a/src/record.cpp
+++ b/src/record.cpp
@@ -1,14 +1,33 @@
 // Log lines as effects, recent decisions, the process's random sequence.
 #include "record.h"
 
+#include <algorithm>
+
 namespace endivewharf {
 
 namespace {
 
 constexpr std::size_t MaxDecisions = 512; // kept for `dump`
 
+std::string kindOf(const CallRequest &R) {
+  if (R.Kind_ == CallKind::Completion)
+    return "completion";
+  if (R.Stream_)
+    return "stream";
+  return R.Kind_ == CallKind::Routed ? "routed" : "service";
+}
+
 } // namespace
 
+void observe(State &S, const std::string &What, const Call &C) {
+  Histogram &H = S.Counters_.Latencies_[What][kindOf(C.Request_)];
+  const Millis Time = S.Now_ - C.ArrivedAt_;
+  const auto Bucket =
+      std::lower_bound(LatencyBounds.begin(), LatencyBounds.end(), Time);
+  ++H.Counts_[static_cast<std::size_t>(Bucket - LatencyBounds.begin())];
+  H.Sum_ += static_cast<double>(Time);
+}
+
 void logEvent(Effects &Out, std::string Event, LogFields Fields) {
   Out.push_back(WriteLog{std::move(Event), std::move(Fields), false});
 }
--- a/src/record.h
+++ b/src/record.h
@@ -16,4 +16,8 @@
 void logEvent(Effects &Out, std::string Event, LogFields Fields);
 void logWarning(Effects &Out, std::string Event, LogFields Fields);
 
+/// Counts the time from a call's arrival until now.
+/// @param What was waited for: `queue`, `first_event` or `request`
+void observe(State &S, const std::string &What, const Call &C);
+
 } // namespace endivewharf
--- a/src/resume.cpp
+++ b/src/resume.cpp
@@ -26,8 +26,8 @@
 }
 
 /// Sends tokens that are known and that the caller lacks.
-void replayTokens(Call &C, Effects &Out) {
-  startStreamIfNeeded(C, Out);
+void replayTokens(State &S, Call &C, Effects &Out) {
+  startStreamIfNeeded(S, C, Out);
   for (std::int64_t I = C.SendFrom_; I < C.NextIndex_; ++I)
     Out.push_back(SendToken{C.Id_, I, std::string(tokenText(C, I))});
   C.SendFrom_ = std::max(C.SendFrom_, C.NextIndex_);
@@ -147,7 +147,7 @@
   remember(S, C.RequestId_,
            fmt::format("resumed at token {}", Record.NextIndex_));
   if (C.Request_.Stream_)
-    replayTokens(C, Out);
+    replayTokens(S, C, Out);
   if (Record.Finished_) {
     finishCompletion(S, C, Out);
     return;
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -187,6 +187,7 @@
 void passEvent(State &S, Call &C, const AttemptToken &E, Effects &Out) {
   if (!C.StreamStarted_) {
     C.StreamStarted_ = true;
+    observe(S, "first_event", C);
     noteBegan(S, C);
     Out.push_back(StartRoutedStream{C.Id_, C.HeadStatus_, C.Head_});
   }
--- a/src/state.h
+++ b/src/state.h
@@ -359,6 +359,9 @@
 struct FleetState {
   std::map<std::string, WorkAverage> Work_; ///< By service.
   std::map<std::string, HostOrder> Orders_; ///< By service, zone and kind.
+  LogOffset OrdersEpoch_ =
+      NoOffset;      ///< Of the lease that they were sent under.
+  WorkRecord Saved_; ///< As the log has it.
   std::uint64_t NextOrder_ = 0;
   Millis AveragedAt_ = 0;
   Millis PlannedAt_ = 0;
@@ -402,8 +405,19 @@
   std::string Text_;
 };
 
+/// Upper bounds of a histogram's buckets, ms; one more is for what is longer.
+constexpr std::array<Millis, 12> LatencyBounds = {
+    5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000, 30000};
+
+struct Histogram {
+  std::array<std::int64_t, LatencyBounds.size() + 1> Counts_{};
+  double Sum_ = 0; ///< ms
+};
+
 struct Counters {
   std::map<std::string, std::int64_t> Values_;
+  /// Times by what was waited for, then by kind of request.
+  std::map<std::string, std::map<std::string, Histogram>> Latencies_;
 };
 
 /// Recently finished or handed-over completions that a caller may ask for.
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -93,10 +93,10 @@
     R.PromptTokens_ = 8000;
     send(std::move(R));
     after(25);
-    if (const auto Append = one<AppendToLog>())
-      appended(*Append);
     if (one<OrderHosts>())
       break;
+    if (const auto Append = one<AppendToLog>())
+      appended(*Append);
   }
   const auto Order = one<OrderHosts>();
   ASSERT_TRUE(Order);
@@ -104,6 +104,38 @@
   EXPECT_EQ(Order->Epoch_, S_.Lease_.Epoch_);
 }
 
+TEST_F(FleetTest, processes_allRestarted_ordersGoByTheWorkSaved) {
+  start(5, {WorkRecord{Unix_ + Now_ - 2000, {{"engines", 4800}}}});
+  takeLease();
+  for (int I = 0; I < 20 && !one<OrderHosts>(); ++I)
+    after(50);
+  const auto Order = one<OrderHosts>();
+  ASSERT_TRUE(Order);
+  EXPECT_GE(Order->Count_, 4);
+}
+
+TEST_F(FleetTest, work_savedLongAgo_saysNothing) {
+  start(5, {WorkRecord{Unix_ + Now_ - 120000, {{"engines", 4800}}}});
+  takeLease();
+  for (int I = 0; I < 20; ++I) {
+    after(50);
+    ASSERT_FALSE(one<OrderHosts>());
+  }
+}
+
+TEST_F(FleetTest, leaseOfAnEarlierLife_isTakenOverAtOnce) {
+  start(5, {LeaseAcquireRecord{{"entry-1", 1}, NoOffset, 3000, 7}});
+  after(100);
+  EXPECT_NE(S_.Lease_.Nonce_, 0U);
+}
+
+TEST_F(FleetTest, leaseOfAnother_isWaitedFor) {
+  start(5, {LeaseAcquireRecord{{"entry-2", 1}, NoOffset, 3000, 7}});
+  EXPECT_EQ(S_.Lease_.Nonce_, 0U);
+  after(3000);
+  EXPECT_EQ(S_.Lease_.Nonce_, 0U);
+}
+
 TEST_F(FleetTest, process_withoutTheLease_ordersNothing) {
   for (int I = 0; I < 200; ++I) {
     CallRequest R = request("/question/1");
--- a/tests/platformfixture.h
+++ b/tests/platformfixture.h
@@ -70,8 +70,9 @@
 
   void SetUp() override { start(1); }
 
-  /// A process that has read its configuration and its hosts.
-  void start(std::uint64_t Incarnation) {
+  /// A process that has read its configuration, its hosts and the log.
+  void start(std::uint64_t Incarnation,
+             const std::vector<LogRecord> &Log = {}) {
     Settings Given;
     Given.Name_ = "entry-1";
     Given.DataCentre_ = "a";
@@ -84,7 +85,11 @@
     feed(Tick{});
     feed(OperatorRead{1, {{0, PublishedConfiguration{Config}}}});
     feed(HostsRead{hosts()});
-    feed(LogRead{0, 0, true, {}});
+    LogRead Page{0, 0, true, {}};
+    for (const LogRecord &Record : Log)
+      Page.Entries_.push_back({NextOffset_++, Record});
+    Page.Next_ = Log.empty() ? 0 : NextOffset_;
+    feed(Page);
     feed(Tick{});
     if (const auto Append = one<AppendToLog>())
       feed(AppendEnded{Append->Append_, false});
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -112,14 +112,11 @@
   peerCounted(9, Window, 20);
   run(5000);
   ASSERT_EQ(reported(Window, "sales"), -1);
-  const std::vector<LogRecord> Left = Written_;
-  start(5);
-  LogRead Page{NextOffset_, NextOffset_, true, {}};
-  for (const LogRecord &Record : Left)
+  std::vector<LogRecord> Left;
+  for (const LogRecord &Record : Written_)
     if (std::holds_alternative<UsageCountsRecord>(Record))
-      Page.Entries_.push_back({NextOffset_++, Record});
-  Page.Next_ = NextOffset_;
-  feed(Page);
+      Left.push_back(Record);
+  start(5, Left);
   takeLease();
   run(5000);
   EXPECT_EQ(reported(Window, "sales"), 21);
