--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -2,6 +2,8 @@
 // streams go on.
 #include "platformfixture.h"
 
+#include "metrics.h"
+
 namespace endivewharf {
 
 using RoutedTest = PlatformTest;
@@ -199,6 +201,29 @@
   EXPECT_FALSE(S_.Upstreams_[2].Listed_);
 }
 
+TEST_F(RoutedTest, latencies_ofAStream_areCountedByWhatWasWaitedFor) {
+  CallRequest R = request("/report/1");
+  R.Stream_ = true;
+  send(std::move(R));
+  const auto Start = one<StartAttempt>();
+  ASSERT_TRUE(Start);
+  after(60);
+  feed(AttemptToken{Start->Attempt_, 1, "id: 1\n\n"});
+  after(60);
+  feed(AttemptEnded{Start->Attempt_, "", 0, 0});
+  const std::string Text = renderMetrics(S_, {});
+  const auto Has = [&](const std::string &Line) {
+    return Text.find(Line + "\n") != std::string::npos;
+  };
+  EXPECT_TRUE(
+      Has(R"(endivewharf_queue_seconds_bucket{kind="stream",le="0.005"} 1)"));
+  EXPECT_TRUE(Has(
+      R"(endivewharf_first_event_seconds_bucket{kind="stream",le="0.05"} 0)"));
+  EXPECT_TRUE(Has(
+      R"(endivewharf_first_event_seconds_bucket{kind="stream",le="0.1"} 1)"));
+  EXPECT_TRUE(Has(R"(endivewharf_request_seconds_count{kind="stream"} 1)"));
+}
+
 TEST_F(RoutedTest, configuration_older_neverReplacesANewerOne) {
   feed(OperatorRead{6, {{5, PublishedConfiguration{Config}}}});
   std::string Old = "[account x]\nkey = y\n";
