--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -18,6 +18,8 @@
 
 namespace {
 
+constexpr Millis FirstConfigRetry = 200; // ms; a read of the store or less
+
 std::optional<CallError> checkTarget(const State &S, const Call &C) {
   const Configuration &Config = S.Config_.Value_;
   if (C.Request_.Kind_ == CallKind::Routed)
@@ -38,7 +40,8 @@
 std::optional<CallError> checkCall(State &S, Call &C) {
   if (S.Stage_ == Stage::Starting)
     return CallError{ErrorKind::NotReady, RunState::NotRun,
-                     "this process has not learnt its configuration yet", 500};
+                     "this process has not learnt its configuration yet",
+                     FirstConfigRetry};
   if (C.Request_.Kind_ == CallKind::Routed)
     return checkRouted(S, C);
   const auto &Accounts = S.Config_.Value_.AccountsByKey_;
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -114,6 +114,7 @@
   F("moves", R.Moves_);
   F("config_version", R.ConfigVersion_);
   F("hosts_hash", R.HostsHash_);
+  F("hosts_version", R.HostsVersion_);
   F("unix_ms", R.UnixMs_);
 }
 template <Is<FactsMessage> T, typename V> void fields(T &R, V &&F) {
@@ -227,8 +228,7 @@
 
 template <Is<LifeUsageRow> T, typename V> void fields(T &R, V &&F) {
   F("life", R.Life_);
-  F("account", R.Account_);
-  F("count", R.Count_);
+  F("counts", R.Counts_);
 }
 template <Is<UsageCountsRecord> T, typename V> void fields(T &R, V &&F) {
   F("window", R.Window_);
--- a/src/event.h
+++ b/src/event.h
@@ -166,6 +166,7 @@
 
 struct HostsRead {
   std::vector<HostRow> Hosts_;
+  LogOffset Version_ = 0; ///< Grows with each change; 0: not known.
 };
 
 struct HostsReadFailed {};
--- a/src/messages.h
+++ b/src/messages.h
@@ -4,6 +4,7 @@
 
 #include "types.h"
 
+#include <map>
 #include <optional>
 #include <string>
 #include <tuple>
@@ -149,6 +150,7 @@
   std::vector<MoveRow> Moves_; ///< Of services, that are known there.
   LogOffset ConfigVersion_ = NoOffset;
   std::uint64_t HostsHash_ = 0; ///< Of the host list; 0: not followed there.
+  LogOffset HostsVersion_ = 0;  ///< Of that list; grows with its changes.
   std::int64_t UnixMs_ = 0;     ///< True time, as the sender believes.
 };
 
@@ -310,11 +312,13 @@
   std::vector<UsageRow> Rows_;
 };
 
-/// Requests that began to run in one life of a process.
+/// Requests that began to run, by account.
+using UsageCounts = std::map<std::string, std::int64_t>;
+
+/// What began to run in one life of a process.
 struct LifeUsageRow {
   Life Life_;
-  std::string Account_;
-  std::int64_t Count_ = 0;
+  UsageCounts Counts_;
 };
 
 /// What is known of a window before it is decided, so that a restart of all
--- a/src/state.h
+++ b/src/state.h
@@ -313,9 +313,6 @@
   Millis UpdatedAt_ = 0;
 };
 
-/// Requests that began to run, by account.
-using UsageCounts = std::map<std::string, std::int64_t>;
-
 struct UsageState {
   std::map<std::int64_t, UsageCounts> Own_; ///< By window, of this life.
   /// By window, of other lives, as their processes and the log have told.
@@ -327,7 +324,6 @@
   Millis SentAt_ = 0;
   Millis AskedAt_ = 0;
   std::int64_t FirstWindow_ = 0; ///< Of this life; earlier ones are others'.
-  Millis SavedAt_ = 0;           ///< Counts of the open windows.
   std::map<std::int64_t, std::vector<UsageRow>> Proposed_; ///< As asked for.
   std::map<std::string, std::int64_t> PeersAhead_; ///< Their time less ours.
   bool ClockSettled_ = false;
@@ -473,8 +469,7 @@
   Millis HostsReadAt_ = -1;
   Millis HostsConfirmedAt_ = -1; ///< When a follower's list was the same.
   bool HostsDiffer_ = false;     ///< A follower's list was another one.
-  /// Hashes of the lists read here and when each was last the newest.
-  std::map<std::uint64_t, Millis> HostHashes_;
+  LogOffset HostsVersion_ = 0;   ///< Of the list; grows with its changes.
   Millis HostsFailingSince_ = 0; ///< 0: the last read of the list succeeded.
   Millis HostsBackAt_ = 0;       ///< First success after failures.
   Millis NoticesReadAt_ = -1;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -17,7 +17,6 @@
 constexpr Millis LargeSumsPeriod = 500; // ms, in a large group
 constexpr std::size_t LargeGroup = 8;   // processes
 constexpr Millis OldLoads = 2000;       // ms; older ones say nothing
-constexpr Millis OldListTime = 1500;    // ms for which a follower lags
 constexpr std::int64_t UsageWindowsTold = 4;
 
 std::uint32_t upstreamHash(const Upstream &U) {
@@ -55,8 +54,10 @@
   for (const auto &[Service, Move] : S.Release_.Moves_)
     M.Moves_.push_back(Move.Row_);
   M.ConfigVersion_ = S.Config_.Version_;
-  if (followsStore(S) && S.HostsReadAt_ >= 0)
+  if (followsStore(S) && S.HostsReadAt_ >= 0) {
     M.HostsHash_ = hostsHash(S);
+    M.HostsVersion_ = S.HostsVersion_;
+  }
   M.UnixMs_ = trueUnixMs(S);
   return M;
 }
@@ -80,18 +81,17 @@
   }
 }
 
-/// A follower's list confirms ours, or shows that it is to be read again; not
-/// if it is one that we had a moment ago and the follower is behind.
-void noteHostsHash(State &S, std::uint64_t Hash) {
-  const std::uint64_t Own = hostsHash(S);
-  S.HostHashes_[Own] = S.Now_;
-  std::erase_if(S.HostHashes_, [&](const auto &Entry) {
-    return S.Now_ - Entry.second > OldListTime;
-  });
-  if (Hash == Own)
-    S.HostsConfirmedAt_ = S.Now_;
-  else if (S.HostHashes_.count(Hash) == 0)
-    S.HostsDiffer_ = true;
+/// A follower's list that is no newer confirms ours; a newer one that is not
+/// the same shows that ours is to be read again.
+void noteHosts(State &S, const SumsMessage &M) {
+  if (M.HostsVersion_ > S.HostsVersion_) {
+    if (M.HostsHash_ != hostsHash(S)) {
+      S.HostsDiffer_ = true;
+      return;
+    }
+    S.HostsVersion_ = M.HostsVersion_;
+  }
+  S.HostsConfirmedAt_ = S.Now_;
 }
 
 } // namespace
@@ -110,7 +110,7 @@
   if (M.ConfigVersion_ > S.Config_.Version_)
     Out.push_back(SendToPeer{From.Name_, ControlRequestMessage{}});
   if (M.HostsHash_ != 0)
-    noteHostsHash(S, M.HostsHash_);
+    noteHosts(S, M);
   addOthersLoads(S);
 }
 
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -139,6 +139,7 @@
     S.PoolsChanged_ =
         S.PoolsChanged_ || S.Upstreams_[I].Listed_ != WasListed[I];
   S.HostsReadAt_ = S.Now_;
+  S.HostsVersion_ = E.Version_;
 }
 
 void onHostsReadFailed(State &S, Effects &Out) {
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -14,7 +14,6 @@
 
 constexpr Millis SettleTime = 1500; // ms after a window, for peers' counts
 constexpr Millis LongestSettleTime = 5000; // ms, for peers that are silent
-constexpr Millis SavePeriod = 500;         // ms between two savings of counts
 constexpr Millis AskAgain = 2000;          // ms until a lost record is repeated
 constexpr Millis ReportAgain = 1200;       // ms until a lost report is repeated
 constexpr std::int64_t KeptWindows = 8;    // that may still be reported
@@ -65,20 +64,19 @@
   Known = std::max(Known, Count);
 }
 
-/// Saves the counts of windows that are not decided yet.
+/// Saves the counts of windows that are not decided yet, in one call with the
+/// renewal of the lease.
 void saveCounts(State &S) {
   UsageState &U = S.Usage_;
-  if (S.Now_ - U.SavedAt_ < SavePeriod)
+  if (S.Lease_.SentAt_ != S.Now_)
     return;
-  U.SavedAt_ = S.Now_;
   const std::int64_t Current = usageWindow(S);
   for (std::int64_t W = Current - 1; W <= Current; ++W) {
     UsageCountsRecord R;
     R.Window_ = W;
     if (U.Decided_.count(W) == 0)
       for (const auto &[Who, Counts] : countsOf(S, W))
-        for (const auto &[Account, Count] : Counts)
-          R.Rows_.push_back({Who, Account, Count});
+        R.Rows_.push_back({Who, Counts});
     if (!R.Rows_.empty())
       appendRecord(S, std::move(R));
   }
@@ -177,7 +175,8 @@
 
 void noteCounts(State &S, const UsageCountsRecord &R) {
   for (const LifeUsageRow &Row : R.Rows_)
-    raise(S, R.Window_, Row.Life_, Row.Account_, Row.Count_);
+    for (const auto &[Account, Count] : Row.Counts_)
+      raise(S, R.Window_, Row.Life_, Account, Count);
 }
 
 void applyUsage(State &S, const UsageRecord &R, Effects &Out) {
