Lease and usage records get in only where the log ends for their writer

A lease record that had lost against an earlier one was the newest of its key; a process that reads only the newest record of each key, after the history has gone, could not know that, took the lease for free and was believed by those like it, while others went by the history. Usage records of one window had the same flaw. Change: on the platform such a record is appended on the condition that the log ends where its writer has read to, so that none that does not hold gets in, and the newest is always right. A refused append goes in again once what came in between is read, without what that has overtaken. Ruled out: a record given up and executed late; its condition no longer holds then.

--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -163,6 +163,38 @@
          std::holds_alternative<UsageRecord>(Record);
 }
 
+/// Where the newest record of a key is all that may be left, one that does not
+/// hold must not get in: it is written only where the log ends for its writer.
+bool needsKnownEnd(const State &S, const LogRecord &Record) {
+  return S.Settings_.onPlatform() &&
+         (std::holds_alternative<LeaseAcquireRecord>(Record) ||
+          std::holds_alternative<LeaseRenewRecord>(Record) ||
+          std::holds_alternative<UsageRecord>(Record));
+}
+
+/// @return true if what has been read since shows that a record is not to be
+/// written any more
+bool isOvertaken(const State &S, const LogRecord &Record) {
+  const LeaseState &L = S.Lease_;
+  if (const auto *Usage = std::get_if<UsageRecord>(&Record))
+    return S.Usage_.Decided_.count(Usage->Window_) > 0;
+  if (const auto *Acquire = std::get_if<LeaseAcquireRecord>(&Record))
+    return Acquire->Previous_ != L.LastRecord_;
+  if (const auto *Renew = std::get_if<LeaseRenewRecord>(&Record))
+    return Renew->Epoch_ != L.Epoch_;
+  return false;
+}
+
+void dropOvertaken(State &S) {
+  std::erase_if(S.Log_.Outbox_, [&](const LogRecord &R) {
+    if (!needsKnownEnd(S, R) || !isOvertaken(S, R))
+      return false;
+    if (!std::holds_alternative<UsageRecord>(R))
+      S.Lease_.Nonce_ = 0;
+    return true;
+  });
+}
+
 /// On the platform each record wakes every reader: those that don't follow the
 /// store read our own records now and then, shares come from peers.
 bool isLogReadDue(const State &S) {
@@ -219,6 +251,13 @@
   S.Log_.Pending_.clear();
   if (E.Accepted_)
     return;
+  if (E.Refused_) {
+    // All goes in again once what is there has been read.
+    S.Log_.RefusedAt_ = S.Log_.Next_;
+    S.Log_.Outbox_.insert(S.Log_.Outbox_.begin(), Pending.begin(),
+                          Pending.end());
+    return;
+  }
   // Whether the append took effect is not known. Claims and outcomes go in
   // again; what is bound to a moment is decided anew.
   S.Log_.RetryAt_ = S.Now_ + LogRetryPeriod;
@@ -233,15 +272,23 @@
     Log.ReadStartedAt_ = S.Now_;
     Out.push_back(ReadLog{Log.Next_, LogWait});
   }
-  if (Log.PendingAppend_ != 0 || Log.Outbox_.empty() || S.Now_ < Log.RetryAt_)
+  if (Log.PendingAppend_ != 0 || S.Now_ < Log.RetryAt_)
     return;
+  dropOvertaken(S);
   const auto Batch =
       static_cast<std::ptrdiff_t>(std::min(Log.Outbox_.size(), MaxBatch));
-  Log.Pending_.assign(Log.Outbox_.begin(), Log.Outbox_.begin() + Batch);
-  Log.Outbox_.erase(Log.Outbox_.begin(), Log.Outbox_.begin() + Batch);
+  const auto End = Log.Outbox_.begin() + Batch;
+  const bool Conditional =
+      std::any_of(Log.Outbox_.begin(), End,
+                  [&](const LogRecord &R) { return needsKnownEnd(S, R); });
+  if (Batch == 0 || (Conditional && Log.RefusedAt_ == Log.Next_))
+    return;
+  Log.Pending_.assign(Log.Outbox_.begin(), End);
+  Log.Outbox_.erase(Log.Outbox_.begin(), End);
   Log.PendingAppend_ = Log.NextAppend_++;
   count(S, "log_appends");
-  Out.push_back(AppendToLog{Log.PendingAppend_, Log.Pending_});
+  Out.push_back(AppendToLog{Log.PendingAppend_, Log.Pending_,
+                            Conditional ? Log.Next_ : NoOffset});
 }
 
 void tickControl(State &S, Effects &Out) {
--- a/src/effect.h
+++ b/src/effect.h
@@ -142,6 +142,8 @@
 struct AppendToLog {
   std::uint64_t Append_ = 0;
   std::vector<LogRecord> Records_;
+  /// Nothing is to be written unless the log ends here; NoOffset: wherever.
+  LogOffset OnlyAt_ = NoOffset;
 };
 
 /// Reads on in what operators write.
--- a/src/event.h
+++ b/src/event.h
@@ -145,6 +145,7 @@
 struct AppendEnded {
   std::uint64_t Append_ = 0;
   bool Accepted_ = false;
+  bool Refused_ = false; ///< Nothing was written: the log ended elsewhere.
 };
 
 /// One host as the host list shows it.
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -86,7 +86,9 @@
 
 void applyLeaseAcquire(State &S, LogOffset Offset, const LeaseAcquireRecord &R,
                        Effects &Out) {
-  if (R.Previous_ != S.Lease_.LastRecord_) {
+  // On the platform a record gets in only if its writer knew all before it;
+  // a reader may have missed those.
+  if (R.Previous_ != S.Lease_.LastRecord_ && !S.Settings_.onPlatform()) {
     if (R.Holder_ == S.Self_)
       S.Lease_.Nonce_ = 0;
     return;
--- a/src/state.h
+++ b/src/state.h
@@ -190,6 +190,8 @@
   std::uint64_t NextAppend_ = 1;
   std::uint64_t PendingAppend_ = 0;
   std::vector<LogRecord> Pending_; ///< Records in the append under way.
+  /// Where an append was refused, as the log had more records than were read.
+  LogOffset RefusedAt_ = NoOffset;
 };
 
 /// Reading of what operators write, where the platform keeps it apart from our
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -107,6 +107,10 @@
   void append(Topic &T, const WebRequest &R, const WebReplyPtr &Reply) {
     ++Appends_;
     const std::int64_t First = T.end();
+    if (R.Query_.count("at") > 0 && std::stoll(query(R, "at")) != First) {
+      Reply->json(412, {{"end", First}});
+      return;
+    }
     std::string_view Rest = R.Body_;
     while (Rest.size() >= LengthBytes) {
       const std::size_t Length = number(Rest.substr(0, LengthBytes));
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -129,6 +129,52 @@
   EXPECT_NE(S_.Lease_.Nonce_, 0U);
 }
 
+TEST_F(FleetTest, leaseOfAnother_newestRecordOnly_isWaitedFor) {
+  // What came before this record is not in the log any more.
+  start(5, {LeaseAcquireRecord{{"entry-2", 1}, 7, 3000, 7}});
+  after(100);
+  EXPECT_EQ(S_.Lease_.Nonce_, 0U);
+  EXPECT_EQ(S_.Lease_.Holder_.Name_, "entry-2");
+}
+
+TEST_F(FleetTest, leaseRecord_isWrittenOnlyWhereTheLogWasReadTo) {
+  start(5, {LeaseAcquireRecord{{"entry-1", 1}, 7, 3000, 7}});
+  std::optional<AppendToLog> Append;
+  for (int I = 0; I < 20 && !Append; ++I) {
+    after(50);
+    Append = one<AppendToLog>();
+  }
+  ASSERT_TRUE(Append);
+  EXPECT_EQ(Append->OnlyAt_, S_.Log_.Next_);
+  // Somebody has written: not again until that has been read.
+  feed(AppendEnded{Append->Append_, false, true});
+  EXPECT_FALSE(one<AppendToLog>());
+  after(50);
+  EXPECT_FALSE(one<AppendToLog>());
+  LogRead More{S_.Log_.Next_, S_.Log_.Next_ + 1, true, {}};
+  feed(More);
+  EXPECT_TRUE(one<AppendToLog>());
+}
+
+TEST_F(FleetTest, leaseRecord_overtakenByAnother_isNotWritten) {
+  start(5, {LeaseAcquireRecord{{"entry-1", 1}, 7, 3000, 7}});
+  std::optional<AppendToLog> Append;
+  for (int I = 0; I < 20 && !Append; ++I) {
+    after(50);
+    Append = one<AppendToLog>();
+  }
+  ASSERT_TRUE(Append);
+  feed(AppendEnded{Append->Append_, false, true});
+  LogRead More{S_.Log_.Next_, S_.Log_.Next_ + 1, true, {}};
+  More.Entries_.push_back(
+      {S_.Log_.Next_, LeaseAcquireRecord{{"entry-2", 1}, 10, 3000, 9}});
+  feed(More);
+  if (const auto Again = one<AppendToLog>())
+    for (const LogRecord &R : Again->Records_)
+      EXPECT_FALSE(std::holds_alternative<LeaseAcquireRecord>(R));
+  EXPECT_EQ(S_.Lease_.Holder_.Name_, "entry-2");
+}
+
 TEST_F(FleetTest, leaseOfAnother_isWaitedFor) {
   start(5, {LeaseAcquireRecord{{"entry-2", 1}, NoOffset, 3000, 7}});
   EXPECT_EQ(S_.Lease_.Nonce_, 0U);
