Fault soak with real processes

Random series of overlapping faults from outside: processes stopped, killed, frozen and restarted by signals; the store down, silent, losing answers, forgetting its history; relays that delay, silence, cut one way or reset the ways to the store and to the servers; servers that refuse, lose answers, cut streams, drain; configurations one after the other. Callers keep their connections until the process is gone. Checked: lost, mixed, twice, false_not_run, config_reverts, drain_late, duty_conflicts, own_exits, not_recovered. The cluster of the platform's process tests is a file of its own now, used by both; the relay knows delays, one-way cuts and resets.

--- a/standins/cloud.cpp
+++ b/standins/cloud.cpp
@@ -1,4 +1,4 @@
-// Host list (shown with a lag) and cloud API (reclaim notices).
+// Host list (shown with a lag) and cloud API (reclaim notices, duties).
 #include "web.h"
 
 namespace standin {
@@ -56,12 +56,19 @@
       return;
     }
     const Json Body = parseBody(R);
+    if (R.Path_ == "/usage" || R.Path_ == "/scale")
+      Duties_.push_back({{"call", R.Path_},
+                         {"holder", value(R, "duty-holder")},
+                         {"epoch", value(R, "fencing-token")},
+                         {"at", nowMs()},
+                         {"body", Body}});
     if (Body.contains("notice"))
       Notices_.push_back(Body["notice"]);
-    Reply->json(200, {{"ok", true}});
+    Reply->json(200, {{"ok", true}, {"duties", Duties_}});
   }
 
   std::vector<Json> Notices_;
+  std::vector<Json> Duties_; ///< Calls of one process at a time, as they came.
   Web Web_;
 };
 
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -21,11 +21,6 @@
         }) {}
 
 private:
-  static std::string value(const WebRequest &R, const char *Name) {
-    const auto Found = R.Headers_.find(Name);
-    return Found == R.Headers_.end() ? "" : Found->second;
-  }
-
   void handle(const WebRequest &R, const WebReplyPtr &Reply) {
     if (R.Path_ == "/control") {
       control(parseBody(R));
--- a/standins/web.h
+++ b/standins/web.h
@@ -65,6 +65,12 @@
 
 Json parseBody(const WebRequest &Request);
 
+/// @param Name of a header, in lower case
+inline std::string value(const WebRequest &R, const char *Name) {
+  const auto Found = R.Headers_.find(Name);
+  return Found == R.Headers_.end() ? "" : Found->second;
+}
+
 // One function for each kind of stand-in; it sets up and returns.
 struct Options {
   int Port_ = 0;
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -37,8 +37,15 @@
   std::optional<int> Status_;
 };
 
-/// TCP relay whose open connections can go silent for good while new ones
-/// work.
+/// What a relay does to its connections.
+enum class RelayFault {
+  None,
+  Delayed, ///< Bytes pass, but late.
+  OneWay,  ///< Bytes of the target are lost.
+  Silent   ///< All bytes are lost, nobody is told.
+};
+
+/// TCP relay whose connections can be delayed, silenced, cut one way or reset.
 class Relay {
 public:
   explicit Relay(int Target);
@@ -51,11 +58,18 @@
   void silence();
   /// Does so for good, and takes no new ones either.
   void block();
+  /// Puts all connections under a fault, new ones too. Those that have lost
+  /// bytes are reset when it ends.
+  void setFault(RelayFault Fault);
+  /// Resets all connections that are open now.
+  void reset();
 
 private:
   struct Pipe;
   void accept();
   void pump(const std::shared_ptr<Pipe> &P, bool Forth);
+  void pass(const std::shared_ptr<Pipe> &P, bool Forth, std::size_t Size);
+  void run(const std::function<void()> &Action);
 
   int Target_;
   int Port_;
@@ -63,6 +77,7 @@
   asio::ip::tcp::acceptor Acceptor_;
   std::vector<std::weak_ptr<Pipe>> Pipes_;
   std::vector<std::shared_ptr<Pipe>> Silent_;
+  RelayFault Fault_ = RelayFault::None;
   std::thread Thread_;
 };
 
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -1,164 +1,28 @@
 // The platform's path with real processes: two entry processes, the store and
 // servers as stand-ins, faults from outside.
-#include "harness.h"
+#include "platformcluster.h"
 
 #include <csignal>
-#include <filesystem>
 #include <fmt/format.h>
-#include <fstream>
 #include <unistd.h>
 
 namespace endivewharf::harness {
 
 namespace {
 
-/// Ports of one entry process.
-struct EntryPorts {
-  int Callers_ = 0;
-  int Operators_ = 0;
-  int Peers_ = 0;
-};
-
-class PlatformProcessTest : public ::testing::Test {
+class PlatformProcessTest : public ::testing::Test, protected PlatformCluster {
 protected:
   static constexpr int Entries = 2;
 
   void SetUp() override {
-    Folder_ = fmt::format(
-        "/tmp/endivewharf-{}-{}",
-        ::testing::UnitTest::GetInstance()->current_test_info()->name(),
-        getpid());
-    std::filesystem::create_directories(Folder_);
-    Store_ = freePort();
-    Cloud_ = freePort();
-    standin("store", "store", Store_, {});
-    for (int I = 0; I < 2; ++I) {
-      Servers_.push_back(freePort());
-      const std::string Name = fmt::format("s{}", I);
-      standin(Name, "server", Servers_.back(),
-              {"--name=" + Name, "--token_ms=10"});
-    }
-    for (int I = 0; I < Entries; ++I)
-      Ports_.push_back({freePort(), freePort(), freePort()});
-    ASSERT_TRUE(waitFor([&] { return put("keyed.op", "config", config()); }));
-    beat();
-    for (int I = 0; I < Entries; ++I)
-      startEntry(I);
-    for (int I = 0; I < Entries; ++I)
-      ASSERT_TRUE(waitFor([&] {
-        return get(I, "/check/1", "probe").Status_ == 200;
-      })) << "logs are in "
-          << Folder_;
-  }
-
-  void standin(const std::string &Name, const std::string &Kind, int Port,
-               std::vector<std::string> More) {
-    std::vector<std::string> Command = {std::string(BINARY_DIR) + "/standin",
-                                        "--kind=" + Kind,
-                                        fmt::format("--port={}", Port)};
-    Command.insert(Command.end(), More.begin(), More.end());
-    Children_[Name] =
-        std::make_unique<Child>(Command, Folder_ + "/" + Name + ".log");
-  }
-
-  void startEntry(int I) {
-    const std::string File = fmt::format("{}/entry-{}.ini", Folder_, I);
-    std::ofstream(File) << fmt::format(
-        "[entry]\nname = entry-{0}\ndata_centre = z{0}\nzone = z{0}\n"
-        "listen = 127.0.0.1:{1}\noperator_listen = 127.0.0.1:{2}\n"
-        "peer_listen = 127.0.0.1:{3}\n[platform]\nstore = "
-        "http://127.0.0.1:{4}\ncloud = http://127.0.0.1:{5}\n[limits]\n"
-        "drain = 5s\nstop_margin = 500ms\nunready = 500ms\nlease = 1500ms\n",
-        I, Ports_[I].Callers_, Ports_[I].Operators_, Ports_[I].Peers_, Store_,
-        Cloud_);
-    Children_[fmt::format("entry-{}", I)] = std::make_unique<Child>(
-        std::vector<std::string>{std::string(BINARY_DIR) + "/endivewharf",
-                                 "serve", "--settings=" + File},
-        fmt::format("{}/entry-{}.log", Folder_, I));
-  }
-
-  static Json config(const std::string &Keys = R"(["k1","k2"])",
-                     const std::string &CheckService = "orders") {
-    const auto Route = [](const char *Name, const char *Path, const char *Kind,
-                          const std::string &Service, int Attempts) {
-      return Json{
-          {"name", Name},      {"host", "shop.example"}, {"pathPrefix", Path},
-          {"kind", Kind},      {"timeoutMs", 4000},      {"goalMs", 500},
-          {"priority", 0},     {"service", Service},     {"attempts", Attempts},
-          {"resumable", true}, {"public", false}};
-    };
-    return Json{
-        {"version", 1},
-        {"routes",
-         Json::array({Route("check", "/check/", "idempotent", CheckService, 2),
-                      Route("book", "/book/", "non_idempotent", "orders", 1),
-                      Route("stream", "/stream/", "streaming", "orders", 2)})},
-        {"services", Json::array({{{"name", "orders"}, {"maxConns", 50}}})},
-        {"tenants", Json::array({{{"name", "sales"},
-                                  {"apiKeys", Json::parse(Keys)},
-                                  {"ratePerS", 0}}})}};
-  }
-
-  bool put(const std::string &Topic, const std::string &Key,
-           const Json &Value) const {
-    const Json Body = {
-        {"put",
-         Json::array({{{"topic", Topic}, {"key", Key}, {"value", Value}}})}};
-    return control(Store_, Body).Status_ == 200;
-  }
-
-  static HttpAnswer control(int Port, const Json &Body) {
-    return http("POST", fmt::format("http://127.0.0.1:{}/control", Port),
-                Body.dump());
+    PlatformOptions Given;
+    Given.Name_ =
+        ::testing::UnitTest::GetInstance()->current_test_info()->name();
+    Given.Entries_ = Entries;
+    ASSERT_TRUE(startAll(Given)) << "logs are in " << Folder_;
   }
-
-  void beat(const std::string &State = "ready") const {
-    for (std::size_t I = 0; I < Servers_.size(); ++I)
-      put("keyed.servers", fmt::format("s{}", I),
-          {{"service", "orders"},
-           {"address", fmt::format("127.0.0.1:{}", Servers_[I])},
-           {"zone", "z0"},
-           {"version", "v1"},
-           {"slots", 6},
-           {"state", I == 0 ? State : "ready"},
-           {"born", 1}});
-  }
-
-  HttpAnswer get(int Entry, const std::string &Path, const std::string &Id,
-                 const std::string &Key = "k1") const {
-    return http(
-        "GET",
-        fmt::format("http://127.0.0.1:{}{}", Ports_[Entry].Callers_, Path), "",
-        {"Host: shop.example", "Request-Id: " + Id, "Deadline-Ms: 4000",
-         "Authorization: Token " + Key});
-  }
-
-  Json books(int Server) const {
-    return control(Servers_[Server], Json::object()).json();
-  }
-
-  int runs(const std::string &Id) const {
-    int Sum = 0;
-    for (int I = 0; I < 2; ++I)
-      Sum += books(I)["runs"].value(Id, 0);
-    return Sum;
-  }
-
-  std::string Folder_;
-  int Store_ = 0;
-  int Cloud_ = 0;
-  std::vector<int> Servers_;
-  std::vector<EntryPorts> Ports_;
-  std::map<std::string, std::unique_ptr<Child>> Children_;
 };
 
-std::string wholeStream() {
-  std::string Text;
-  for (int I = 1; I <= 20; ++I)
-    Text += fmt::format("id: {0}\ndata: piece {0}\n\n", I);
-  return Text;
-}
-
 } // namespace
 
 TEST_F(PlatformProcessTest, request_reachesItsServer_withTenantAndWithoutKey) {
