--- a/bench/benches.h
+++ b/bench/benches.h
@@ -14,6 +14,9 @@
 void benchCapacity(int Seeds);
 void benchChaos(int Seeds);
 
+/// Plays chaos for some seeds only.
+void benchChaosSeeds(int First, int Last);
+
 /// Prints whether a figure meets its target.
 /// @param Key name of the figure
 /// @param Value measured
--- a/bench/chaos.cpp
+++ b/bench/chaos.cpp
@@ -288,10 +288,12 @@
   return ChaosRun(Seed, Requests).run();
 }
 
-void benchChaos(int Seeds) {
+void benchChaos(int Seeds) { benchChaosSeeds(1, Seeds); }
+
+void benchChaosSeeds(int First, int Last) {
   constexpr int RequestsPerSeed = 2000;
   ChaosResult Sum;
-  for (int Seed = 1; Seed <= Seeds; ++Seed) {
+  for (int Seed = First; Seed <= Last; ++Seed) {
     const ChaosResult R =
         runChaos(static_cast<std::uint64_t>(Seed), RequestsPerSeed);
     fmt::print("chaos_seed_{}: requests={} answered={} unfinished={} wrong={} "
--- a/bench/main.cpp
+++ b/bench/main.cpp
@@ -7,6 +7,7 @@
 #include <map>
 
 DEFINE_int32(seeds, 5, "runs with different seeds");
+DEFINE_int32(seed, 0, "chaos: only this seed; 0: seeds 1 to --seeds");
 DEFINE_string(json_file, "", "also write the figures as JSON");
 
 int main(int Argc, char **Argv) {
@@ -26,7 +27,14 @@
       fmt::print("bench {}\n", Name);
     return 2;
   }
-  Found->second(FLAGS_seeds);
+  if (FLAGS_seed > 0 && Found->first != "chaos") {
+    fmt::print(stderr, "bench: --seed is for chaos; others take --seeds=N\n");
+    return 2;
+  }
+  if (FLAGS_seed > 0)
+    benchChaosSeeds(FLAGS_seed, FLAGS_seed);
+  else
+    Found->second(FLAGS_seeds);
   writeJson(FLAGS_json_file);
   return failed() ? 1 : 0;
 }
--- /dev/null
+++ b/tests/overhead.cpp
@@ -0,0 +1,133 @@
+// What the platform's path adds to a plain answer and to a stream's first
+// event: the same requests to a server directly and through an entry process.
+#include "platformcluster.h"
+
+#include <algorithm>
+#include <chrono>
+#include <fmt/format.h>
+#include <fstream>
+#include <gflags/gflags.h>
+
+DEFINE_int32(requests, 1000, "of each kind, on each way");
+
+namespace endivewharf::harness {
+
+namespace {
+
+using Clock = std::chrono::steady_clock;
+
+double msSince(Clock::time_point Then) {
+  return std::chrono::duration<double, std::milli>(Clock::now() - Then).count();
+}
+
+/// One request after the other on a connection that stays open.
+class Way {
+public:
+  /// @return ms until the first byte of the body; below 0: no answer
+  double ask(const std::string &Url, std::vector<std::string> Headers) {
+    HttpRequest R;
+    R.Url_ = Url;
+    R.Headers_ = std::move(Headers);
+    const auto Start = Clock::now();
+    double First = -1;
+    Client_.start(
+        std::move(R),
+        [&](int, std::string_view) {
+          if (First < 0)
+            First = msSince(Start);
+          return true;
+        },
+        [&](const HttpResult &Result) {
+          if (!isOk(Result))
+            First = -1;
+          Io_.stop();
+        });
+    Io_.restart();
+    Io_.run();
+    return First;
+  }
+
+private:
+  asio::io_context Io_;
+  HttpClient Client_{Io_};
+};
+
+double quantile(std::vector<double> Times, double Part) {
+  const auto Which =
+      static_cast<std::ptrdiff_t>(Part * static_cast<double>(Times.size() - 1));
+  std::nth_element(Times.begin(), Times.begin() + Which, Times.end());
+  return Times[static_cast<std::size_t>(Which)];
+}
+
+/// Processes that want to run and time that tasks waited for a processor: a
+/// busy machine shows beside the figures.
+std::string machineState() {
+  std::string Load;
+  std::getline(std::ifstream("/proc/loadavg"), Load);
+  std::string Pressure = "unknown";
+  std::getline(std::ifstream("/proc/pressure/cpu"), Pressure);
+  return fmt::format("load=\"{}\" cpu_pressure=\"{}\"", Load, Pressure);
+}
+
+/// @return times of all requests by one way; those without an answer are
+/// counted apart
+std::vector<double> play(Way &By, const std::string &Url,
+                         const std::vector<std::string> &More, int &Failed) {
+  std::vector<double> Times;
+  for (int I = 0; I < FLAGS_requests; ++I) {
+    std::vector<std::string> Headers =
+        PlatformCluster::headers(fmt::format("o{}", I), "k1");
+    Headers.insert(Headers.end(), More.begin(), More.end());
+    const double Time = By.ask(Url, std::move(Headers));
+    if (Time < 0)
+      ++Failed;
+    else
+      Times.push_back(Time);
+  }
+  return Times;
+}
+
+int run() {
+  PlatformCluster Cluster;
+  PlatformOptions Given;
+  Given.Name_ = "overhead";
+  Given.Entries_ = 1;
+  Given.Servers_ = 1;
+  Given.TokenMs_ = 1;
+  if (!Cluster.startAll(Given)) {
+    fmt::print("not started, logs are in {}\n", Cluster.Folder_);
+    return 1;
+  }
+  const std::string Server =
+      fmt::format("http://127.0.0.1:{}", Cluster.Servers_[0]);
+  fmt::print("before: {}\n", machineState());
+  int Failed = 0;
+  for (const char *Kind : {"check", "stream"}) {
+    const std::string Path = fmt::format("/{}/1", Kind);
+    Way Direct;
+    Way Relayed;
+    const auto Alone =
+        play(Direct, Server + Path, {"Expect-Instance: s0"}, Failed);
+    const auto Through = play(Relayed, Cluster.url(0, Path), {}, Failed);
+    if (Alone.empty() || Through.empty())
+      break;
+    for (const double Part : {0.5, 0.99}) {
+      const double Base = quantile(Alone, Part);
+      const double All = quantile(Through, Part);
+      fmt::print("{}_p{:.0f}: direct_ms={:.3f} relayed_ms={:.3f} "
+                 "added_ms={:.3f}\n",
+                 Kind, Part * 100, Base, All, All - Base);
+    }
+  }
+  fmt::print("after: {}\nfailed={}\n", machineState(), Failed);
+  return Failed == 0 ? 0 : 1;
+}
+
+} // namespace
+
+} // namespace endivewharf::harness
+
+int main(int Argc, char **Argv) {
+  gflags::ParseCommandLineFlags(&Argc, &Argv, true);
+  return endivewharf::harness::run();
+}
--- a/tests/platformcluster.cpp
+++ b/tests/platformcluster.cpp
@@ -30,7 +30,7 @@
     Servers_.push_back(freePort());
     const std::string Name = fmt::format("s{}", I);
     standin(Name, "server", Servers_.back(),
-            {"--name=" + Name, "--token_ms=10"});
+            {"--name=" + Name, fmt::format("--token_ms={}", Given.TokenMs_)});
     if (Given.Relays_)
       ServerRelays_.push_back(std::make_unique<Relay>(Servers_.back()));
   }
--- a/tests/platformcluster.h
+++ b/tests/platformcluster.h
@@ -17,6 +17,7 @@
   std::string Name_; ///< Of the folder for settings and logs.
   int Entries_ = 2;
   int Servers_ = 2;
+  int TokenMs_ = 10;    ///< Between two events of a stream.
   bool Relays_ = false; ///< Between the processes, the store and the servers.
 };
 
