--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -311,28 +311,28 @@
   std::size_t Life = 0;
   std::int64_t Newest = 0;
   for (int Number = 0; Running_; ++Number) {
-    const auto livesNow = [&] {
+    const auto LivesNow = [&] {
       const std::lock_guard Lock(Mutex_);
       return Record_.Lives_[I].size();
     };
-    const std::size_t Before = livesNow();
+    const std::size_t Before = LivesNow();
     if (Before != Life)
       Newest = 0;
     Life = Before;
-    const auto accepts = [&](std::int64_t Key) {
+    const auto Accepts = [&](std::int64_t Key) {
       Seen R;
       R.Id_ = fmt::format("w{}-{}-{}", I, Number, Key);
       R = Open.ask(std::move(R), url(I, "/check/1"), fmt::format("v{}", Key));
       return R.End_ == TransferEnd::Complete && R.Status_ == 200;
     };
     const std::int64_t Key = Keys_;
-    if (Newest > FirstSwing && accepts(Newest - 1) && livesNow() == Life) {
+    if (Newest > FirstSwing && Accepts(Newest - 1) && LivesNow() == Life) {
       const std::lock_guard Lock(Mutex_);
       Verdict_.report(
           "config_reverts",
           fmt::format("entry-{} took v{} after v{}", I, Newest - 1, Newest));
     }
-    if (accepts(Key) && livesNow() == Life)
+    if (Accepts(Key) && LivesNow() == Life)
       Newest = std::max(Newest, Key);
     std::this_thread::sleep_for(std::chrono::milliseconds(ProbePause));
   }
