A store that turned only this process away has lost no entries

Change: entries that are gone at the store's return are waited for only if others could not read it either: who told, for 1.5 s of the time that our reads failed, a list that was read in that time, shows that the store was there. Ruled out: reading late; the list was read 0.3 s after the return. Tests: two; the first red with the old rule put back, the second holds the wait after an outage for all.

--- a/src/state.h
+++ b/src/state.h
@@ -473,6 +473,8 @@
   bool HostsDiffer_ = false;     ///< A follower's list was another one.
   Millis HostsKnownAt_ = -1;     ///< When the list was last read, whole.
   LogOffset HostsVersion_ = 0;   ///< Of the list; grows with its changes.
+  /// Since when others have told lists read while ours can't be; 0: none has.
+  Millis HostsToldSince_ = 0;
   Millis HostsFailingSince_ = 0; ///< 0: the last read of the list succeeded.
   Millis HostsBackAt_ = 0;       ///< First success after failures.
   Millis NoticesReadAt_ = -1;
--- a/src/sums.cpp
+++ b/src/sums.cpp
@@ -87,6 +87,10 @@
 /// A follower's list that is no newer confirms ours; a newer one that is not
 /// the same shows that ours is to be read again.
 void noteHosts(State &S, const SumsMessage &M) {
+  // What is told by then was read after our own reads began to fail.
+  const Millis Since = S.HostsFailingSince_;
+  if (Since != 0 && S.Now_ > Since + FreshHosts && S.HostsToldSince_ == 0)
+    S.HostsToldSince_ = S.Now_;
   if (M.HostsVersion_ > S.HostsVersion_) {
     if (M.HostsHash_ != hostsHash(S)) {
       S.HostsDiffer_ = true;
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -15,10 +15,12 @@
 constexpr Millis HostListPeriod = 500;      // ms between reads
 constexpr Millis DifferentListPeriod = 250; // ms, when it has changed
 constexpr Millis ConfirmedTime = 1200;      // ms without a word of a reader
-constexpr Millis ReturnTime = 2300;         // ms after the store's return
-constexpr Millis NoticePeriod = 250;        // ms between reads
-constexpr Millis ProbePeriod = 500;         // ms between probes of one upstream
-constexpr Millis RefusalPause = 100;        // ms after a refusal
+// ms; a store that is back shows here by then, as reads are repeated.
+constexpr Millis OthersReadTime = 1500;
+constexpr Millis ReturnTime = 2300;     // ms after the store's return
+constexpr Millis NoticePeriod = 250;    // ms between reads
+constexpr Millis ProbePeriod = 500;     // ms between probes of one upstream
+constexpr Millis RefusalPause = 100;    // ms after a refusal
 constexpr Millis AvoidTime = 500;       // ms after a failure, doubled in a row
 constexpr Millis MaxAvoidTime = 8000;   // ms
 constexpr int ProbesPerTick = 8;        // bound on the probing work of a tick
@@ -55,11 +57,15 @@
            {{"upstream", Row.Host_.Name_}, {"address", Row.Address_}});
 }
 
-/// Entries that lapsed while the store was away come back soon after it.
+/// Entries that lapsed while the store was away come back soon after it; not
+/// if it was there for others all the while and turned only us away.
 void noteHostsBack(State &S) {
-  if (S.HostsFailingSince_ != 0)
+  const bool OthersRead =
+      S.HostsToldSince_ != 0 && S.Now_ - S.HostsToldSince_ >= OthersReadTime;
+  if (S.HostsFailingSince_ != 0 && !OthersRead)
     S.HostsBackAt_ = S.Now_;
   S.HostsFailingSince_ = 0;
+  S.HostsToldSince_ = 0;
 }
 
 /// A host that is not on the list gets no new work, but for the time in which
--- a/tests/sums_test.cpp
+++ b/tests/sums_test.cpp
@@ -93,6 +93,37 @@
   EXPECT_EQ(Told(), 0U);
 }
 
+TEST_F(SumsTest, hostGone_whileTheStoreTurnedOnlyUsAway_getsNothing) {
+  feed(HostsReadFailed{});
+  for (int I = 0; I < 80; ++I) {
+    after(50);
+    if (I % 5 == 0)
+      hearAll(OtherList, 1);
+  }
+  std::vector<HostRow> Less = hosts();
+  Less.erase(Less.begin());
+  feed(HostsRead{Less, OwnVersion});
+  after(50);
+  EXPECT_FALSE(S_.Upstreams_[0].Listed_);
+}
+
+TEST_F(SumsTest, hostGone_whileTheStoreWasAwayForAll_isKeptForAMoment) {
+  feed(HostsReadFailed{});
+  for (int I = 0; I < 80; ++I) {
+    after(50);
+    if (I % 5 == 0)
+      hearAll(0, 0);
+  }
+  std::vector<HostRow> Less = hosts();
+  Less.erase(Less.begin());
+  feed(HostsRead{Less, OwnVersion});
+  after(50);
+  EXPECT_TRUE(S_.Upstreams_[0].Listed_);
+  after(3000);
+  feed(HostsRead{Less, OwnVersion});
+  EXPECT_FALSE(S_.Upstreams_[0].Listed_);
+}
+
 TEST_F(SumsTest, store_unreachable_bystanderAsksSeldom) {
   becomeBystander();
   int Reads = 0;
