Evidence, INI files and callers' input in files of their own

Cause: three files held two jobs each. src/release.cpp (568 lines) planned moves and judged evidence; src/config.cpp (504) read INI text and checked a configuration; src/http.cpp (549) read callers' input and wrote answers. Change: evidence.{h,cpp} has what is seen of versions and the verdict, release.cpp the plan (319); inifile.{h,cpp} has sections, units and mistakes for settings, notes and configurations, config.cpp the configuration (367); httpinput.{h,cpp} has the checks of callers' input, http.cpp the servers (423). Text is trimmed by one function where there were two. A sample of evidence says whether a verdict is due; release.cpp judges. No change in what they do.

--- a/bench/capacity.cpp
+++ b/bench/capacity.cpp
@@ -4,6 +4,7 @@
 
 #include "benches.h"
 #include "codec.h"
+#include "evidence.h"
 #include "membership.h"
 #include "release.h"
 #include "router.h"
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -28,13 +28,6 @@
          strncasecmp(Text.data(), Prefix.data(), Prefix.size()) == 0;
 }
 
-std::string_view trimmed(std::string_view Text) {
-  const auto First = Text.find_first_not_of(" \t\r\n");
-  if (First == std::string_view::npos)
-    return {};
-  return Text.substr(First, Text.find_last_not_of(" \t\r\n") - First + 1);
-}
-
 } // namespace
 
 Millis monotonicNow() {
--- a/src/http.cpp
+++ b/src/http.cpp
@@ -1,6 +1,7 @@
 // RESTinio servers for callers and operators.
 #include "http.h"
 
+#include "httpinput.h"
 #include "pending.h"
 #include "webserver.h"
 
@@ -54,133 +55,6 @@
   Millis LastWrite_ = 0;
 };
 
-struct BadInput {
-  std::string Detail_;
-  int Status_ = 400;
-};
-
-std::string bearerKey(const restinio::request_t &Request) {
-  const std::string Value = Request.header().get_field_or("Authorization", "");
-  constexpr std::string_view Prefix = "Bearer ";
-  return Value.rfind(Prefix, 0) == 0 ? Value.substr(Prefix.size()) : "";
-}
-
-/// Text of a message's content, which may come in parts.
-std::string contentText(const Json &Content) {
-  if (Content.is_string())
-    return Content.get<std::string>();
-  std::string Text;
-  if (Content.is_array())
-    for (const Json &Part : Content)
-      if (Part.is_object())
-        Text += Part.value("text", "");
-  return Text;
-}
-
-tl::expected<std::string, BadInput> promptOf(const Json &Body, bool Chat) {
-  if (!Chat) {
-    const auto Prompt = Body.find("prompt");
-    if (Prompt == Body.end() || !Prompt->is_string())
-      return tl::unexpected(BadInput{"prompt must be a string"});
-    return Prompt->get<std::string>();
-  }
-  const auto Messages = Body.find("messages");
-  if (Messages == Body.end() || !Messages->is_array() || Messages->empty())
-    return tl::unexpected(BadInput{"messages must be an array, not empty"});
-  std::string Prompt;
-  for (const Json &Message : *Messages) {
-    if (!Message.is_object() || !Message.contains("role") ||
-        !Message.contains("content"))
-      return tl::unexpected(
-          BadInput{"each message must have a role and a content"});
-    if (!Message["role"].is_string())
-      return tl::unexpected(BadInput{"role must be a string"});
-    Prompt += Message["role"].get<std::string>() + "\n" +
-              contentText(Message["content"]) + "\n";
-  }
-  return Prompt;
-}
-
-/// Headers that all calls share.
-tl::expected<CallRequest, BadInput>
-commonRequest(const restinio::request_t &Request) {
-  const auto &Header = Request.header();
-  CallRequest Call;
-  Call.ApiKey_ = bearerKey(Request);
-  Call.RequestId_ = Header.get_field_or("X-Request-Id", "");
-  if (Call.RequestId_.size() > 128 ||
-      Call.RequestId_.find_first_of("/?& \r\n") != std::string::npos)
-    return tl::unexpected(
-        BadInput{"X-Request-Id must be at most 128 plain characters"});
-  const std::string Level = Header.get_field_or("X-Priority", "interactive");
-  if (Level != "interactive" && Level != "batch")
-    return tl::unexpected(BadInput{"X-Priority must be interactive or batch"});
-  Call.Priority_ = Level == "batch" ? Priority::Batch : Priority::Interactive;
-  const std::string Limit = Header.get_field_or("X-Time-Limit", "");
-  if (!Limit.empty()) {
-    const auto Parsed = parseDuration(Limit);
-    if (!Parsed || *Parsed == 0)
-      return tl::unexpected(
-          BadInput{"X-Time-Limit must be a duration such as 800ms or 30s"});
-    Call.TimeLimit_ = *Parsed;
-  }
-  return Call;
-}
-
-tl::expected<CallRequest, BadInput>
-completionRequest(const restinio::request_t &Request, bool Chat) {
-  auto Call = commonRequest(Request);
-  if (!Call)
-    return Call;
-  const Json Body = Json::parse(Request.body(), nullptr, false);
-  if (!Body.is_object())
-    return tl::unexpected(BadInput{"the body must be a JSON object"});
-  const auto Model = Body.find("model");
-  if (Model == Body.end() || !Model->is_string())
-    return tl::unexpected(BadInput{"model must be a string"});
-  auto Prompt = promptOf(Body, Chat);
-  if (!Prompt)
-    return tl::unexpected(Prompt.error());
-  const Json Stream = Body.value("stream", Json(false));
-  if (!Stream.is_boolean())
-    return tl::unexpected(BadInput{"stream must be true or false"});
-  const Json MaxTokens = Body.value("max_tokens", Json(256));
-  if (!MaxTokens.is_number_integer() || MaxTokens.get<std::int64_t>() < 1)
-    return tl::unexpected(
-        BadInput{"max_tokens must be a whole number above 0"});
-  Call->Kind_ = CallKind::Completion;
-  Call->Model_ = Model->get<std::string>();
-  Call->Route_ = Chat ? "chat" : "completions";
-  Call->Prompt_ = std::move(*Prompt);
-  Call->Body_ = Request.body();
-  Call->Stream_ = Stream.get<bool>();
-  Call->MaxTokens_ = MaxTokens.get<std::int64_t>();
-  return Call;
-}
-
-tl::expected<CallRequest, BadInput>
-serviceRequest(const restinio::request_t &Request, std::string_view Target) {
-  auto Call = commonRequest(Request);
-  if (!Call)
-    return Call;
-  const auto Slash = Target.find('/');
-  Call->Kind_ = CallKind::Service;
-  Call->Route_ = std::string(Target.substr(0, Slash));
-  Call->Path_ =
-      Slash == std::string_view::npos ? "/" : std::string(Target.substr(Slash));
-  const auto Query = Request.header().query();
-  if (!Query.empty())
-    Call->Path_ += "?" + std::string(Query.data(), Query.size());
-  Call->Method_ = Request.header().method().c_str();
-  Call->Body_ = Request.body();
-  Call->ContentType_ = Request.header().get_field_or("Content-Type", "");
-  Call->IdempotencyKey_ = Request.header().get_field_or("Idempotency-Key", "");
-  if (Call->IdempotencyKey_.size() > 256)
-    return tl::unexpected(
-        BadInput{"Idempotency-Key must be at most 256 characters"});
-  return Call;
-}
-
 std::int64_t queryNumber(std::string_view Query, std::string_view Key) {
   std::int64_t Number = 0;
   const std::string Wanted = fmt::format("{}=", Key);
--- /dev/null
+++ b/src/inifile.cpp
@@ -0,0 +1,144 @@
+// INI by inih; mistakes with their lines and the nearest known word.
+#include "inifile.h"
+
+#include <algorithm>
+#include <charconv>
+#include <fmt/format.h>
+#include <ini.h>
+#include <numeric>
+
+namespace endivewharf {
+
+namespace {
+
+/// Hands inih one line at a time, so that the line's number is known.
+struct IniReader {
+  std::string_view Rest_;
+  int Line_ = 0;
+  std::vector<IniSection> Sections_;
+};
+
+char *readIniLine(char *Buffer, int Size, void *User) {
+  auto &Reader = *static_cast<IniReader *>(User);
+  if (Reader.Rest_.empty() || Size < 2)
+    return nullptr;
+  const auto End = Reader.Rest_.find('\n');
+  const std::size_t Length =
+      End == std::string_view::npos ? Reader.Rest_.size() : End + 1;
+  const std::size_t Taken =
+      std::min(Length, static_cast<std::size_t>(Size) - 1);
+  std::copy_n(Reader.Rest_.data(), Taken, Buffer);
+  Buffer[Taken] = '\0';
+  Reader.Rest_.remove_prefix(Taken);
+  ++Reader.Line_;
+  return Buffer;
+}
+
+int onIniEntry(void *User, const char *Section, const char *Key,
+               const char *Value) {
+  auto &Reader = *static_cast<IniReader *>(User);
+  auto &Sections = Reader.Sections_;
+  const std::string_view Header = trimmed(Section);
+  const auto Space = Header.find(' ');
+  const std::string Kind(Header.substr(0, Space));
+  const std::string Name(Space == std::string_view::npos
+                             ? std::string_view()
+                             : trimmed(Header.substr(Space + 1)));
+  if (Sections.empty() || Sections.back().Kind_ != Kind ||
+      Sections.back().Name_ != Name)
+    Sections.push_back({Kind, Name, Reader.Line_, {}});
+  Sections.back().Entries_.push_back({Key, Value, Reader.Line_});
+  return 1;
+}
+
+struct Unit {
+  std::string_view Name_;
+  std::int64_t Factor_;
+};
+
+tl::expected<std::int64_t, std::monostate>
+parseWithUnit(std::string_view Text, std::initializer_list<Unit> Units) {
+  std::int64_t Number = 0;
+  const auto *End = Text.data() + Text.size();
+  const auto Result = std::from_chars(Text.data(), End, Number);
+  if (Result.ec != std::errc() || Number < 0)
+    return tl::unexpected(std::monostate{});
+  const std::string_view Rest(Result.ptr, End - Result.ptr);
+  for (const Unit &Candidate : Units)
+    if (Rest == Candidate.Name_)
+      return Number * Candidate.Factor_;
+  return tl::unexpected(std::monostate{});
+}
+
+int editDistance(std::string_view A, std::string_view B) {
+  std::vector<int> Row(B.size() + 1);
+  std::iota(Row.begin(), Row.end(), 0);
+  for (std::size_t I = 1; I <= A.size(); ++I) {
+    int Diagonal = Row[0];
+    Row[0] = static_cast<int>(I);
+    for (std::size_t J = 1; J <= B.size(); ++J) {
+      const int Above = Row[J];
+      const int Replace = Diagonal + (A[I - 1] == B[J - 1] ? 0 : 1);
+      Row[J] = std::min({Above + 1, Row[J - 1] + 1, Replace});
+      Diagonal = Above;
+    }
+  }
+  return Row.back();
+}
+
+} // namespace
+
+void MistakeCollector::add(const IniSection &Section, int Line,
+                           std::string_view Key, std::string Expected) {
+  const std::string Name = Section.Name_.empty()
+                               ? Section.Kind_
+                               : Section.Kind_ + " " + Section.Name_;
+  All_.push_back({File_, Line, Name, std::string(Key), std::move(Expected)});
+}
+
+void MistakeCollector::addUnknownKey(const IniSection &Section,
+                                     const IniSection::Entry &Entry,
+                                     const std::vector<std::string> &Known) {
+  add(Section, Entry.Line_, Entry.Key_,
+      fmt::format("a known key; nearest: {}", nearestWord(Entry.Key_, Known)));
+}
+
+void MistakeCollector::addAll(const FileMistakes &More) {
+  All_.insert(All_.end(), More.begin(), More.end());
+}
+
+tl::expected<std::vector<IniSection>, FileMistakes>
+parseIni(std::string_view Text, std::string_view File) {
+  IniReader Reader{Text, 0, {}};
+  const int BadLine =
+      ini_parse_stream(readIniLine, &Reader, onIniEntry, &Reader);
+  if (BadLine != 0)
+    return tl::unexpected(FileMistakes{
+        {std::string(File), BadLine, "", "", "a [section] or key = value"}});
+  return std::move(Reader.Sections_);
+}
+
+tl::expected<Millis, std::monostate> parseDuration(std::string_view Text) {
+  return parseWithUnit(Text,
+                       {{"ms", 1}, {"s", 1000}, {"m", 60000}, {"h", 3600000}});
+}
+
+tl::expected<std::int64_t, std::monostate> parseSize(std::string_view Text) {
+  return parseWithUnit(Text, {{"B", 1}, {"KiB", 1 << 10}, {"MiB", 1 << 20}});
+}
+
+std::string nearestWord(std::string_view Word,
+                        const std::vector<std::string> &Known) {
+  return *std::min_element(
+      Known.begin(), Known.end(), [&](const auto &A, const auto &B) {
+        return editDistance(Word, A) < editDistance(Word, B);
+      });
+}
+
+std::string describe(const FileMistake &Mistake) {
+  return fmt::format("{}:{}: [{}] {}: expected {}", Mistake.File_,
+                     Mistake.Line_, Mistake.Section_, Mistake.Key_,
+                     Mistake.Expected_);
+}
+
+} // namespace endivewharf
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -3,6 +3,7 @@
 #include "membership.h"
 
 #include "controllog.h"
+#include "evidence.h"
 #include "handover.h"
 #include "record.h"
 #include "release.h"
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -1,9 +1,9 @@
 // Release moves. Taking back needs nobody's leave; raising a share needs the
-// lease. Verdicts come from Wald's sequential probability ratio test (A. Wald,
-// Sequential Analysis, 1947) on failures and on log latency.
+// lease.
 #include "release.h"
 
 #include "controllog.h"
+#include "evidence.h"
 #include "lease.h"
 #include "membership.h"
 #include "record.h"
@@ -11,7 +11,6 @@
 
 #include <algorithm>
 #include <array>
-#include <cmath>
 #include <fmt/format.h>
 
 namespace endivewharf {
@@ -19,122 +18,14 @@
 namespace {
 
 constexpr std::array ShareSteps = {0.05, 0.25, 0.5, 1.0};
-constexpr Millis MinStepTime = 2000;       // ms between two raises
-constexpr Millis MaxStepTime = 60000;      // ms
-constexpr Millis ShareAskTime = 2000;      // ms until a lost raise is repeated
-constexpr Millis EvidencePeriod = 250;     // ms between spreads
-constexpr std::int64_t WindowMs = 2000;    // ms of one evidence window
-constexpr std::int64_t RecentWindows = 15; // looked at for "bad"
-constexpr std::array Suffixes = {1, 2, 4, 8, 15}; // windows, the newest ones
-constexpr std::int64_t MaxWindowsAhead = 2;       // of another process's clock
-constexpr Millis JudgePeriod = 200;               // ms between two judgements
-constexpr double BadThreshold = 9.2;        // ln(1 / false alarm), 1 in 10,000
-constexpr double GoodThreshold = -4.6;      // ln(miss), 1 in 100
-constexpr double BaseFailureRate = 0.02;    // accepted of any version
-constexpr double ExtraFailureRate = 0.2;    // what "bad" adds to it
-constexpr double SlowRatio = 1.4;           // what "bad" does to latency
-constexpr double MinLatencyVariance = 0.02; // of ln(latency)
-constexpr std::int64_t MinTimed = 8;        // samples for a latency test
-constexpr Millis TypicalLoadTime = 1000;    // ms of two loads at once
-constexpr Millis OrderPeriod = 10000;       // ms until an order is repeated
-constexpr int MaxLoads = 2;                 // at once, for the weight store
-constexpr double MaxCredit = 2; // requests that a share may be behind
-
-/// Names a row apart from its window.
-std::string seriesKey(const EvidenceRow &R) {
-  return fmt::format("{}|{}|{}|{}|{}|{}/{}", R.Note_, R.Model_, R.New_,
-                     R.Route_, R.DataCentre_, R.Observer_.Name_,
-                     R.Observer_.Incarnation_);
-}
-
-std::string rowKey(const EvidenceRow &R) {
-  return fmt::format("{}|{}", seriesKey(R), R.Window_);
-}
-
-void addSums(SampleSums &To, const SampleSums &From) {
-  To.Count_ += From.Count_;
-  To.Failed_ += From.Failed_;
-  To.Timed_ += From.Timed_;
-  To.LogLatency_ += From.LogLatency_;
-  To.LogLatencySquare_ += From.LogLatencySquare_;
-}
-
-/// Evidence of both versions on one route in one data centre, or of all.
-struct Stratum {
-  SampleSums Old_;
-  SampleSums New_;
-};
-
-/// Log likelihood ratio of "fails too often" against "fails as the old one".
-double failureScore(const Stratum &T) {
-  const double OldRate = T.Old_.Count_ == 0
-                             ? 0
-                             : static_cast<double>(T.Old_.Failed_) /
-                                   static_cast<double>(T.Old_.Count_);
-  const double Good = std::min(0.7, std::max(BaseFailureRate, OldRate * 1.2));
-  const double Bad = Good + ExtraFailureRate;
-  const double Failed = static_cast<double>(T.New_.Failed_);
-  const double Fine = static_cast<double>(T.New_.Count_) - Failed;
-  return Failed * std::log(Bad / Good) +
-         Fine * std::log((1 - Bad) / (1 - Good));
-}
-
-/// Log likelihood ratio of "slower by `SlowRatio`" against "as fast", for
-/// normally distributed ln(latency).
-double latencyScore(const Stratum &T) {
-  if (T.Old_.Timed_ < MinTimed || T.New_.Timed_ < 1)
-    return 0;
-  const double OldCount = static_cast<double>(T.Old_.Timed_);
-  const double NewCount = static_cast<double>(T.New_.Timed_);
-  const double OldMean = T.Old_.LogLatency_ / OldCount;
-  const double Variance =
-      std::max(MinLatencyVariance,
-               T.Old_.LogLatencySquare_ / OldCount - OldMean * OldMean);
-  // The old mean is an estimate itself, so its variance counts as well.
-  const double Effective = Variance * (1 + NewCount / OldCount);
-  const double Shift = std::log(SlowRatio);
-  const double Excess = T.New_.LogLatency_ - NewCount * OldMean;
-  return (Shift * Excess - NewCount * Shift * Shift / 2) / Effective;
-}
-
-/// Strata of the newest windows, by route and data centre and for all.
-using Strata = std::map<std::string, Stratum>;
-
-constexpr const char *Everywhere = "everywhere";
-
-void addRow(Strata &To, const EvidenceRow &Row) {
-  const auto Add = [&](const std::string &Name) {
-    Stratum &T = To[Name];
-    addSums(Row.New_ ? T.New_ : T.Old_, Row.Sums_);
-  };
-  Add(Everywhere);
-  Add(fmt::format("{} in {}", Row.Route_, Row.DataCentre_));
-}
-
-bool isOf(const EvidenceRow &Row, const Move &M) {
-  return Row.Note_ == M.Row_.Note_ && Row.Model_ == M.Row_.Model_;
-}
-
-/// Evidence of a move in its newest windows.
-Strata recentStrata(const State &S, const Move &M, std::int64_t Windows) {
-  const bool OwnOnly =
-      std::holds_alternative<OwnEvidenceJudge>(S.Release_.Policy_);
-  Strata Result;
-  for (const auto &[Key, Row] : S.Release_.Evidence_)
-    if (isOf(Row, M) && Row.Window_ > S.Release_.LastWindow_ - Windows &&
-        (!OwnOnly || Row.Observer_ == S.Self_))
-      addRow(Result, Row);
-  return Result;
-}
-
-/// All evidence of a move.
-Stratum wholeStratum(const State &S, const Move &M) {
-  Strata Result = recentStrata(S, M, RecentWindows + 1);
-  for (const auto &[Key, Row] : S.Release_.Folded_)
-    if (isOf(Row, M))
-      addRow(Result, Row);
-  return Result[Everywhere];
-}
+constexpr Millis MinStepTime = 2000;     // ms between two raises
+constexpr Millis MaxStepTime = 60000;    // ms
+constexpr Millis ShareAskTime = 2000;    // ms until a lost raise is repeated
+constexpr Millis JudgePeriod = 200;      // ms between two judgements
+constexpr Millis TypicalLoadTime = 1000; // ms of two loads at once
+constexpr Millis OrderPeriod = 10000;    // ms until an order is repeated
+constexpr int MaxLoads = 2;              // at once, for the weight store
+constexpr double MaxCredit = 2;          // requests that a share may be behind
 
 double nextStep(double Share) {
   for (const double Step : ShareSteps)
@@ -236,34 +127,6 @@
               {"share", fmt::format("{}", M.Row_.Share_)}});
 }
 
-/// Sums up windows that are over, so that evidence stays small.
-void foldEvidence(State &S) {
-  ReleaseState &R = S.Release_;
-  std::erase_if(R.Evidence_, [&](const auto &Entry) {
-    const EvidenceRow &Row = Entry.second;
-    if (Row.Window_ > R.LastWindow_ - RecentWindows)
-      return false;
-    const auto [Sum, First] = R.Folded_.try_emplace(seriesKey(Row), Row);
-    if (!First)
-      addSums(Sum->second.Sums_, Row.Sums_);
-    return true;
-  });
-}
-
-void spreadEvidence(State &S, Effects &Out) {
-  if (!S.Release_.EvidenceChanged_ ||
-      S.Now_ - S.Release_.EvidenceSentAt_ < EvidencePeriod)
-    return;
-  S.Release_.EvidenceSentAt_ = S.Now_;
-  S.Release_.EvidenceChanged_ = false;
-  FactsMessage Message;
-  const std::int64_t Window = S.UnixMs_ / WindowMs;
-  for (const auto &[Key, Row] : S.Release_.Evidence_)
-    if (Row.Observer_ == S.Self_ && Row.Window_ >= Window - 1)
-      Message.Evidence_.push_back(Row);
-  sendToJudges(S, Message, Out);
-}
-
 /// Least time that a move takes: its loads one after the other, its steps.
 Millis leastTime(const State &S, const Move &M) {
   const LoadCount Loads = countLoads(S, M);
@@ -425,119 +288,8 @@
 
 void noteEvidence(State &S, const Attempt &A, const Call &C, bool Failed,
                   Effects &Out) {
-  if (A.Note_ == NoOffset)
-    return;
-  EvidenceRow Row;
-  Row.Note_ = A.Note_;
-  Row.Model_ = moveKey(C);
-  Row.New_ = A.NewVersion_;
-  Row.Route_ = C.Request_.Route_;
-  Row.DataCentre_ = S.Settings_.DataCentre_;
-  Row.Observer_ = S.Self_;
-  Row.Window_ = S.UnixMs_ / WindowMs;
-  S.Release_.LastWindow_ = std::max(S.Release_.LastWindow_, Row.Window_);
-  auto [Found, New] = S.Release_.Evidence_.try_emplace(rowKey(Row), Row);
-  SampleSums &Sums = Found->second.Sums_;
-  ++Sums.Count_;
-  Sums.Failed_ += Failed ? 1 : 0;
-  const bool Whole = C.Request_.Kind_ == CallKind::Routed && !C.Events_;
-  if (!Failed && (C.NextIndex_ > 0 || Whole) && C.Attempts_ == 1) {
-    const double PerToken = static_cast<double>(S.Now_ - A.StartedAt_) /
-                            static_cast<double>(Whole ? 1 : C.NextIndex_);
-    const double LogLatency = std::log(std::max(0.1, PerToken));
-    ++Sums.Timed_;
-    Sums.LogLatency_ += LogLatency;
-    Sums.LogLatencySquare_ += LogLatency * LogLatency;
-  }
-  S.Release_.EvidenceChanged_ = true;
-  if (A.NewVersion_ && Failed)
-    judgeMoves(S, Out); // a verdict may be due at once
-}
-
-void mergeEvidence(State &S, const std::vector<EvidenceRow> &Rows) {
-  for (const EvidenceRow &Row : Rows) {
-    // What is late has been folded already; what is far ahead comes from a
-    // wrong clock and would fold everybody else's.
-    if (Row.Observer_ == S.Self_ ||
-        Row.Window_ > S.UnixMs_ / WindowMs + MaxWindowsAhead ||
-        Row.Window_ <= S.Release_.LastWindow_ - RecentWindows)
-      continue;
-    S.Release_.LastWindow_ = std::max(S.Release_.LastWindow_, Row.Window_);
-    auto [Found, New] = S.Release_.Evidence_.try_emplace(rowKey(Row), Row);
-    if (Row.Sums_.Count_ > Found->second.Sums_.Count_)
-      Found->second.Sums_ = Row.Sums_;
-  }
-}
-
-namespace {
-
-/// The baseline: a bound on the error rate, and good as long as it holds.
-Verdict judgeByRate(const State &S, const Move &M, const ErrorRateJudge &Rule) {
-  Verdict Result;
-  const SampleSums New = wholeStratum(S, M).New_;
-  const double Rate = static_cast<double>(New.Failed_) /
-                      std::max(1.0, static_cast<double>(New.Count_));
-  const bool Bad = New.Count_ >= Rule.MinCount_ && Rate > Rule.MaxRate_;
-  Result.Kind_ = Bad ? VerdictKind::Bad : VerdictKind::Good;
-  Result.Reason_ = "error rate";
-  return Result;
-}
-
-Verdict judgeByTest(const State &S, const Move &M) {
-  Verdict Result;
-  const auto Look = [&](const Stratum &T, std::string_view Where) {
-    const double Failure = failureScore(T);
-    const double Latency = latencyScore(T);
-    Result.BadScore_ = std::max({Result.BadScore_, Failure, Latency});
-    if (Result.Kind_ == VerdictKind::Bad)
-      return;
-    if (Failure >= BadThreshold) {
-      Result.Kind_ = VerdictKind::Bad;
-      Result.Reason_ = fmt::format("{} of {} failed, {}", T.New_.Failed_,
-                                   T.New_.Count_, Where);
-    } else if (Latency >= BadThreshold) {
-      Result.Kind_ = VerdictKind::Bad;
-      Result.Reason_ = fmt::format(
-          "slower by {:.2f} over {} requests, {}",
-          std::exp(T.New_.LogLatency_ / static_cast<double>(T.New_.Timed_) -
-                   T.Old_.LogLatency_ / static_cast<double>(T.Old_.Timed_)),
-          T.New_.Timed_, Where);
-    }
-  };
-  // A version that turns bad after a long good time shows in the newest
-  // windows first: the longest run of evidence for "bad" counts.
-  for (const std::int64_t Windows : Suffixes)
-    for (const auto &[Where, T] : recentStrata(S, M, Windows))
-      Look(T, Where);
-  if (Result.Kind_ == VerdictKind::Bad)
-    return Result;
-  const Stratum Whole = wholeStratum(S, M);
-  if (failureScore(Whole) <= GoodThreshold &&
-      latencyScore(Whole) <= GoodThreshold)
-    Result.Kind_ = VerdictKind::Good;
-  return Result;
-}
-
-/// One visitor for all ways to judge.
-struct JudgeVisitor {
-  const State &S_;
-  const Move &M_;
-
-  Verdict operator()(const PooledTestJudge &) const {
-    return judgeByTest(S_, M_);
-  }
-  Verdict operator()(const OwnEvidenceJudge &) const {
-    return judgeByTest(S_, M_);
-  }
-  Verdict operator()(const ErrorRateJudge &Rule) const {
-    return judgeByRate(S_, M_, Rule);
-  }
-};
-
-} // namespace
-
-Verdict judge(const State &S, const Move &M) {
-  return std::visit(JudgeVisitor{S, M}, S.Release_.Policy_);
+  if (noteSample(S, A, C, Failed))
+    judgeMoves(S, Out);
 }
 
 void tickRelease(State &S, Effects &Out) {
--- a/src/release.h
+++ b/src/release.h
@@ -1,5 +1,5 @@
 // Moves of models to new versions: the share each process gives the new one,
-// the evidence, the verdict, and the holder's plan to the note's time.
+// and the holder's plan to the note's time.
 #pragma once
 
 #include "state.h"
@@ -10,14 +10,6 @@
 
 namespace endivewharf {
 
-enum class VerdictKind { Undecided, Good, Bad };
-
-struct Verdict {
-  VerdictKind Kind_ = VerdictKind::Undecided;
-  double BadScore_ = 0; ///< Largest log likelihood ratio for "bad".
-  std::string Reason_;
-};
-
 void applyNote(State &S, LogOffset Offset, const NoteRecord &R, Effects &Out);
 void applyShare(State &S, const ShareRecord &R, Effects &Out);
 
@@ -37,15 +29,6 @@
 void noteEvidence(State &S, const Attempt &A, const Call &C, bool Failed,
                   Effects &Out);
 
-/// Takes over evidence rows of other processes; the larger one is the newer.
-void mergeEvidence(State &S, const std::vector<EvidenceRow> &Rows);
-
-/// Sequential test over all evidence of a move.
-/// @param S state with the evidence
-/// @param M the move
-/// @return bad with its reason, good, or undecided
-Verdict judge(const State &S, const Move &M);
-
 /// Judges all moves, spreads evidence and, with the lease, raises shares and
 /// orders loads.
 void judgeMoves(State &S, Effects &Out);
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -83,4 +83,12 @@
 
 int httpStatus(ErrorKind Kind) { return rowOf(Kind).Status_; }
 
+std::string_view trimmed(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t\r\n";
+  const auto First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
+}
+
 } // namespace endivewharf
--- a/src/types.h
+++ b/src/types.h
@@ -100,4 +100,7 @@
 /// @return status code of 400 or more
 int httpStatus(ErrorKind Kind);
 
+/// @return the text without blanks and line ends around it
+std::string_view trimmed(std::string_view Text);
+
 } // namespace endivewharf
