--- a/bench/engines.cpp
+++ b/bench/engines.cpp
@@ -10,8 +10,6 @@
 
 namespace {
 
-constexpr Millis UpstreamDelay = 1; // ms one way
-
 std::string promptOf(const StartAttempt &Start) {
   return Start.Body_.substr(Start.Body_.find('|') + 1);
 }
--- a/bench/world.h
+++ b/bench/world.h
@@ -18,6 +18,8 @@
 
 namespace endivewharf::fakes {
 
+constexpr Millis UpstreamDelay = 1; // ms one way
+
 /// How an engine treats attempts at one version.
 struct VersionFault {
   double FailShare_ = 0;   ///< Attempts that fail.
--- /dev/null
+++ b/tests/config_processes_test.cpp
@@ -0,0 +1,171 @@
+// Configurations and releases with real processes.
+#include "harness.h"
+
+#include <atomic>
+#include <csignal>
+#include <fmt/format.h>
+#include <fstream>
+
+namespace endivewharf::harness {
+
+class ConfigProcessTest : public ClusterTest {
+protected:
+  // The letter's bound is ControlTest's, on its own clock; here is waited for.
+  static constexpr Millis Limit = 20000;
+
+  std::string write(const std::string &Name, const std::string &Extra) {
+    const std::string Path = Folder_ + "/" + Name;
+    std::ofstream(Path) << "[account one]\nkey = key-one\nrate = 10000\n"
+                           "max_in_flight = 10000\n[model m]\nversion = v1\n"
+                           "[service desk]\nunrepeatable = POST /bookings\n"
+                        << Extra;
+    return "--file=" + Path;
+  }
+
+  std::vector<std::string> publish(const std::string &File) const {
+    return {"config", "publish", File,
+            fmt::format("--log=http://127.0.0.1:{}", LogPort_),
+            fmt::format("--operator=127.0.0.1:{}", OperatorPorts_[0])};
+  }
+
+  std::int64_t version(int Entry) const {
+    return dump(Entry)["config"].value("version", std::int64_t{-1});
+  }
+
+  bool isEverywhere(std::int64_t Version) const {
+    for (int I = 0; I < 4; ++I)
+      if (version(I) != Version)
+        return false;
+    return true;
+  }
+};
+
+TEST_F(ConfigProcessTest, config_published_isInForceEverywhereAndUsed) {
+  start();
+  ASSERT_EQ(
+      runCommand(publish(write("c.ini", "[account two]\nkey = key-two\n"))), 0);
+  const std::int64_t Version = version(0);
+  EXPECT_TRUE(waitFor([&] { return isEverywhere(Version); }, Limit));
+  for (int I = 0; I < 4; ++I) {
+    CallerRequest Request = completion("x", 2);
+    Request.ApiKey_ = "key-two";
+    EXPECT_TRUE(ask(I, Request).Answered_);
+  }
+}
+
+TEST_F(ConfigProcessTest, config_staleBase_isRejectedWithItsReason) {
+  start();
+  // Published by another operator who had seen the same version.
+  const Json Other = {
+      {"type", "config"},
+      {"base", 0},
+      {"text", "[account x]\nkey = y\n[model m]\nversion = v1\n"}};
+  const std::int64_t Before = version(0);
+  ASSERT_EQ(runCommand(publish(write("c.ini", ""))), 0);
+  const std::int64_t Winner = version(0);
+  http("POST", fmt::format("http://127.0.0.1:{}/append", LogPort_),
+       Json{{"records", Json::array({Other.dump()})}}.dump());
+  EXPECT_TRUE(waitFor([&] { return !dump(2)["config"]["rejected"].empty(); }));
+  EXPECT_TRUE(isEverywhere(Winner));
+  EXPECT_GT(Winner, Before);
+}
+
+TEST_F(ConfigProcessTest, config_restartWithLogDown_isKept) {
+  start();
+  ASSERT_EQ(runCommand(publish(write("c.ini", ""))), 0);
+  const std::int64_t Version = version(0);
+  ASSERT_TRUE(waitFor([&] { return isEverywhere(Version); }, Limit));
+  control(LogPort_, {{"outage", true}});
+  killEntry(2);
+  startEntry(2);
+  waitReady(2);
+  EXPECT_EQ(version(2), Version);
+  expectWhole(ask(2, completion("x", 5)), "x", 5);
+}
+
+TEST_F(ConfigProcessTest, config_oneCentreCutFromLog_learnsFromPeers) {
+  ClusterOptions Options;
+  Options.RelayLogOnly_ = 1;
+  start(Options);
+  LogRelay_->block();
+  ASSERT_TRUE(
+      waitFor([&] { return !dump(1)["log"]["available"].get<bool>(); }));
+  ASSERT_EQ(runCommand(publish(write("c.ini", ""))), 0);
+  const std::int64_t Version = version(0);
+  EXPECT_TRUE(waitFor([&] { return isEverywhere(Version); }, Limit));
+  expectWhole(ask(1, completion("still serves", 5)), "still serves", 5);
+}
+
+TEST_F(ConfigProcessTest, config_allRestart_isKept) {
+  start();
+  ASSERT_EQ(runCommand(publish(write("c.ini", ""))), 0);
+  const std::int64_t Version = version(0);
+  for (int I = 0; I < 4; ++I)
+    killEntry(I);
+  for (int I = 0; I < 4; ++I)
+    startEntry(I);
+  for (int I = 0; I < 4; ++I)
+    waitReady(I);
+  EXPECT_TRUE(isEverywhere(Version));
+}
+
+// --- Releases ---
+
+class ReleaseProcessTest : public ConfigProcessTest {
+protected:
+  int publishNote() {
+    const std::string Path = Folder_ + "/note.ini";
+    std::ofstream(Path)
+        << "[note]\nid = n1\nwithin = 20s\n[change m]\nto = v2\n";
+    return runCommand(
+        {"note", "publish", "--file=" + Path,
+         fmt::format("--log=http://127.0.0.1:{}", LogPort_),
+         fmt::format("--operator=127.0.0.1:{}", OperatorPorts_[0])});
+  }
+
+  /// Sends requests until a condition holds; all have to be answered.
+  bool loadUntil(const std::function<bool()> &Condition, Millis Limit) {
+    const Millis Until = monotonicNow() + Limit;
+    for (int I = 0; monotonicNow() < Until; ++I) {
+      std::vector<std::shared_ptr<std::optional<CallerResult>>> All;
+      for (int J = 0; J < 8; ++J)
+        All.push_back(begin(J % 4, completion(fmt::format("q{}-{}", I, J), 4)));
+      for (int J = 0; J < 8; ++J)
+        expectWhole(finish(All[J]), fmt::format("q{}-{}", I, J), 4);
+      if (Condition())
+        return true;
+    }
+    return false;
+  }
+
+  Json move(int Entry) const {
+    const Json Moves = dump(Entry)["release"]["moves"];
+    return Moves.empty() ? Json::object() : Moves[0];
+  }
+};
+
+TEST_F(ReleaseProcessTest, version_good_isDone) {
+  start({.Limits_ = "lease = 1s"});
+  ASSERT_EQ(publishNote(), 0);
+  EXPECT_TRUE(loadUntil([&] { return move(1).value("done", false); }, 40000));
+  EXPECT_FALSE(move(1).value("taken_back", true));
+}
+
+TEST_F(ReleaseProcessTest, version_fails_isTakenBackEverywhere) {
+  start({.Limits_ = "lease = 1s"});
+  for (const int Port : EnginePorts_)
+    control(Port, {{"fault", {{"version", "v2"}, {"mode", "fail"}}}});
+  ASSERT_EQ(publishNote(), 0);
+  EXPECT_TRUE(
+      loadUntil([&] { return move(3).value("taken_back", false); }, 40000));
+  for (int I = 0; I < 4; ++I)
+    EXPECT_TRUE(waitFor([&] { return move(I).value("taken_back", false); }))
+        << I;
+  std::string Status;
+  runCommand({"note", "status",
+              fmt::format("--operator=127.0.0.1:{}", OperatorPorts_[2])},
+             &Status);
+  EXPECT_NE(Status.find("state=taken_back"), std::string::npos) << Status;
+}
+
+} // namespace endivewharf::harness
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -40,7 +40,20 @@
       [](int Sum, const ZonePlan &Z) { return Sum + Z.Spot_; });
 }
 
-using FleetTest = PlatformTest;
+class FleetTest : public PlatformTest {
+protected:
+  /// A process whose earlier life held the lease starts again.
+  /// @return what it writes first
+  std::optional<AppendToLog> appendOfRestartedHolder() {
+    start(5, {LeaseAcquireRecord{{"entry-1", 1}, 7, 3000, 7}});
+    for (int I = 0; I < 20; ++I) {
+      after(50);
+      if (auto Append = one<AppendToLog>())
+        return Append;
+    }
+    return std::nullopt;
+  }
+};
 
 } // namespace
 
@@ -138,12 +151,7 @@
 }
 
 TEST_F(FleetTest, leaseRecord_isWrittenOnlyWhereTheLogWasReadTo) {
-  start(5, {LeaseAcquireRecord{{"entry-1", 1}, 7, 3000, 7}});
-  std::optional<AppendToLog> Append;
-  for (int I = 0; I < 20 && !Append; ++I) {
-    after(50);
-    Append = one<AppendToLog>();
-  }
+  const auto Append = appendOfRestartedHolder();
   ASSERT_TRUE(Append);
   EXPECT_EQ(Append->OnlyAt_, S_.Log_.Next_);
   // Somebody has written: not again until that has been read.
@@ -157,12 +165,7 @@
 }
 
 TEST_F(FleetTest, leaseRecord_overtakenByAnother_isNotWritten) {
-  start(5, {LeaseAcquireRecord{{"entry-1", 1}, 7, 3000, 7}});
-  std::optional<AppendToLog> Append;
-  for (int I = 0; I < 20 && !Append; ++I) {
-    after(50);
-    Append = one<AppendToLog>();
-  }
+  const auto Append = appendOfRestartedHolder();
   ASSERT_TRUE(Append);
   feed(AppendEnded{Append->Append_, false, true});
   LogRead More{S_.Log_.Next_, S_.Log_.Next_ + 1, true, {}};
--- a/tests/harness.cpp
+++ b/tests/harness.cpp
@@ -89,30 +89,40 @@
 
 // --- Requests ---
 
+HttpResult Connection::ask(HttpRequest Request,
+                           const std::function<void(std::string_view)> &Body) {
+  HttpResult Ended;
+  Client_.start(
+      std::move(Request),
+      [&](int, std::string_view Bytes) {
+        Body(Bytes);
+        return true;
+      },
+      [&](const HttpResult &Result) {
+        Ended = Result;
+        Io_.stop();
+      });
+  Io_.restart();
+  Io_.run();
+  return Ended;
+}
+
 HttpAnswer http(const std::string &Method, const std::string &Url,
                 const std::string &Body,
                 const std::vector<std::string> &Headers) {
-  asio::io_context Io;
-  HttpClient Client(Io);
-  HttpAnswer Answer;
   HttpRequest Request;
   Request.Method_ = Method;
   Request.Url_ = Url;
   Request.Body_ = Body;
   Request.Headers_ = Headers;
   Request.TotalLimit_ = 15000;
-  Client.start(
-      std::move(Request),
-      [&](int, std::string_view Bytes) {
+  HttpAnswer Answer;
+  const HttpResult Result =
+      Connection().ask(std::move(Request), [&](std::string_view Bytes) {
         Answer.Body_.append(Bytes);
-        return true;
-      },
-      [&](const HttpResult &Result) {
-        if (Result.End_ == TransferEnd::Complete)
-          Answer.Status_ = Result.Status_;
-        Io.stop();
       });
-  Io.run();
+  if (Result.End_ == TransferEnd::Complete)
+    Answer.Status_ = Result.Status_;
   return Answer;
 }
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -44,6 +44,18 @@
   Json json() const { return Json::parse(Body_, nullptr, false); }
 };
 
+/// Requests one after the other on connections that stay open.
+class Connection {
+public:
+  /// @param Body gets body bytes as they come
+  HttpResult ask(HttpRequest Request,
+                 const std::function<void(std::string_view)> &Body);
+
+private:
+  asio::io_context Io_;
+  HttpClient Client_{Io_};
+};
+
 HttpAnswer http(const std::string &Method, const std::string &Url,
                 const std::string &Body = "",
                 const std::vector<std::string> &Headers = {});
--- a/tests/overhead.cpp
+++ b/tests/overhead.cpp
@@ -2,7 +2,8 @@
 // event: the same requests to a server directly and through an entry process.
 #include "platformcluster.h"
 
-#include <algorithm>
+#include "report.h"
+
 #include <chrono>
 #include <fmt/format.h>
 #include <fstream>
@@ -20,43 +21,19 @@
   return std::chrono::duration<double, std::milli>(Clock::now() - Then).count();
 }
 
-/// One request after the other on a connection that stays open.
-class Way {
-public:
-  /// @return ms until the first byte of the body; below 0: no answer
-  double ask(const std::string &Url, std::vector<std::string> Headers) {
-    HttpRequest R;
-    R.Url_ = Url;
-    R.Headers_ = std::move(Headers);
-    const auto Start = Clock::now();
-    double First = -1;
-    Client_.start(
-        std::move(R),
-        [&](int, std::string_view) {
-          if (First < 0)
-            First = msSince(Start);
-          return true;
-        },
-        [&](const HttpResult &Result) {
-          if (!isOk(Result))
-            First = -1;
-          Io_.stop();
-        });
-    Io_.restart();
-    Io_.run();
-    return First;
-  }
-
-private:
-  asio::io_context Io_;
-  HttpClient Client_{Io_};
-};
-
-double quantile(std::vector<double> Times, double Part) {
-  const auto Which =
-      static_cast<std::ptrdiff_t>(Part * static_cast<double>(Times.size() - 1));
-  std::nth_element(Times.begin(), Times.begin() + Which, Times.end());
-  return Times[static_cast<std::size_t>(Which)];
+/// @return ms until the first byte of the body; below 0: no whole answer
+double timeFirstByte(Connection &Way, const std::string &Url,
+                     std::vector<std::string> Headers) {
+  HttpRequest R;
+  R.Url_ = Url;
+  R.Headers_ = std::move(Headers);
+  const auto Start = Clock::now();
+  double First = -1;
+  const HttpResult Result = Way.ask(std::move(R), [&](std::string_view) {
+    if (First < 0)
+      First = msSince(Start);
+  });
+  return isOk(Result) ? First : -1;
 }
 
 /// Processes that want to run and time that tasks waited for a processor: a
@@ -71,14 +48,14 @@
 
 /// @return times of all requests by one way; those without an answer are
 /// counted apart
-std::vector<double> play(Way &By, const std::string &Url,
+std::vector<double> play(Connection &Way, const std::string &Url,
                          const std::vector<std::string> &More, int &Failed) {
   std::vector<double> Times;
   for (int I = 0; I < FLAGS_requests; ++I) {
     std::vector<std::string> Headers =
         PlatformCluster::headers(fmt::format("o{}", I), "k1");
     Headers.insert(Headers.end(), More.begin(), More.end());
-    const double Time = By.ask(Url, std::move(Headers));
+    const double Time = timeFirstByte(Way, Url, std::move(Headers));
     if (Time < 0)
       ++Failed;
     else
@@ -104,16 +81,16 @@
   int Failed = 0;
   for (const char *Kind : {"check", "stream"}) {
     const std::string Path = fmt::format("/{}/1", Kind);
-    Way Direct;
-    Way Relayed;
+    Connection Direct;
+    Connection Relayed;
     const auto Alone =
         play(Direct, Server + Path, {"Expect-Instance: s0"}, Failed);
     const auto Through = play(Relayed, Cluster.url(0, Path), {}, Failed);
     if (Alone.empty() || Through.empty())
       break;
     for (const double Part : {0.5, 0.99}) {
-      const double Base = quantile(Alone, Part);
-      const double All = quantile(Through, Part);
+      const double Base = bench::quantile(Alone, Part);
+      const double All = bench::quantile(Through, Part);
       fmt::print("{}_p{:.0f}: direct_ms={:.3f} relayed_ms={:.3f} "
                  "added_ms={:.3f}\n",
                  Kind, Part * 100, Base, All, All - Base);
--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -30,36 +30,22 @@
 constexpr Millis ServerFaultTail = 5000; // ms for which a server fault is felt
 constexpr std::int64_t FirstSwing = 1;   // number of the first extra key
 
-/// Requests over connections that stay open as long as the process lives.
-class Connection {
-public:
-  Seen ask(Seen Request, const std::string &Url, const std::string &Key) {
-    HttpRequest R;
-    R.Url_ = Url;
-    R.Headers_ = PlatformCluster::headers(Request.Id_, Key);
-    R.TotalLimit_ = CallerLimit;
-    Request.SentAt_ = monotonicNow();
-    Client_.start(
-        std::move(R),
-        [&](int, std::string_view Bytes) {
-          Request.Body_.append(Bytes);
-          return true;
-        },
-        [&](const HttpResult &Result) {
-          Request.End_ = Result.End_;
-          Request.Status_ = Result.Status_;
-          Io_.stop();
-        });
-    Io_.restart();
-    Io_.run();
-    Request.EndedAt_ = monotonicNow();
-    return Request;
-  }
-
-private:
-  asio::io_context Io_;
-  HttpClient Client_{Io_};
-};
+/// Sends one request and notes what its caller sees.
+Seen ask(Connection &Open, Seen Request, const std::string &Url,
+         const std::string &Key) {
+  HttpRequest R;
+  R.Url_ = Url;
+  R.Headers_ = PlatformCluster::headers(Request.Id_, Key);
+  R.TotalLimit_ = CallerLimit;
+  Request.SentAt_ = monotonicNow();
+  const HttpResult Result = Open.ask(std::move(R), [&](std::string_view Bytes) {
+    Request.Body_.append(Bytes);
+  });
+  Request.End_ = Result.End_;
+  Request.Status_ = Result.Status_;
+  Request.EndedAt_ = monotonicNow();
+  return Request;
+}
 
 class Soak : private PlatformCluster {
 public:
@@ -294,7 +280,7 @@
     R.Kind_ = static_cast<RequestKind>(Random() % Paths.size());
     const char *Path = Paths[static_cast<std::size_t>(R.Kind_)];
     const int To = R.Entry_;
-    R = Open.ask(std::move(R), url(To, Path), "k1");
+    R = ask(Open, std::move(R), url(To, Path), "k1");
     const bool Refused = R.End_ == TransferEnd::NotSent;
     {
       const std::lock_guard Lock(Mutex_);
@@ -322,7 +308,7 @@
     const auto Accepts = [&](std::int64_t Key) {
       Seen R;
       R.Id_ = fmt::format("w{}-{}-{}", I, Number, Key);
-      R = Open.ask(std::move(R), url(I, "/check/1"), fmt::format("v{}", Key));
+      R = ask(Open, std::move(R), url(I, "/check/1"), fmt::format("v{}", Key));
       return R.End_ == TransferEnd::Complete && R.Status_ == 200;
     };
     const std::int64_t Key = Keys_;
