Peer messages over nng's streams: its sockets crash and hang

Ruled out: our own memory (23 runs under the address sanitizer clean; the core's frames are nng's), the HTTP edges, libcurl.

Change: src/link: messages behind their length on nng's streams, every operation ended on the loop; src/peers only names, encodes and decodes.

--- a/src/peers.h
+++ b/src/peers.h
@@ -1,14 +1,15 @@
-// Links to other entry processes over nng: one socket that receives, one that
-// sends to each peer. Messages may be lost; the core repeats what matters.
+// Links to other entry processes: one that sends to each peer, one that
+// receives from each. Messages may be lost; the core repeats what matters.
 #pragma once
 
 #include "client.h"
 #include "effect.h"
+#include "link.h"
 #include "settings.h"
 
 #include <functional>
 #include <map>
-#include <nng/nng.h>
+#include <memory>
 #include <string>
 
 namespace endivewharf {
@@ -22,13 +23,9 @@
   /// @param Self sender of all messages
   PeerLinks(asio::io_context &Io, const Settings &From, Life Self,
             MessageSink Sink);
-  ~PeerLinks();
-  PeerLinks(const PeerLinks &) = delete;
-  PeerLinks &operator=(const PeerLinks &) = delete;
 
   /// Listens.
-  /// @return false if the address can't be used
-  bool open();
+  tl::expected<void, LinkError> open();
 
   void send(const SendToPeer &E);
 
@@ -45,27 +42,25 @@
   }
 
 private:
-  struct Link {
-    nng_socket Socket_ = NNG_SOCKET_INITIALIZER;
-    bool Open_ = false;
+  struct Peer {
     SocketAddress Address_;
+    std::unique_ptr<OutgoingLink> Link_; ///< Null until something is sent.
   };
 
-  static void onReceived(void *User);
-  void receiveNext();
+  void accepted(StreamPointer Stream);
   void deliver(const std::string &Bytes);
-  bool openLink(Link &L);
 
   asio::io_context &Io_;
   Settings Settings_;
   Life Self_;
   MessageSink Sink_;
-  nng_socket Receiver_ = NNG_SOCKET_INITIALIZER;
-  nng_aio *ReceiveAio_ = nullptr;
-  std::map<std::string, Link> Links_;
+  std::map<std::string, Peer> Peers_;
+  std::map<std::uint64_t, std::unique_ptr<IncomingLink>> Incoming_;
+  std::uint64_t NextIncoming_ = 1;
   std::int64_t BytesSent_ = 0;
   std::int64_t BytesReceived_ = 0;
   std::map<std::string, std::int64_t> BytesByType_;
+  LinkListener Listener_;
 };
 
 } // namespace endivewharf
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -74,8 +74,9 @@
   }
 
   int run() {
-    if (!Peers_.open()) {
-      log(LogLevel::Error, "listen_failed", {{"which", "peers"}});
+    if (const auto Opened = Peers_.open(); !Opened) {
+      log(LogLevel::Error, "listen_failed",
+          {{"which", "peers"}, {"reason", describe(Opened.error())}});
       return ExitFailed;
     }
     const auto Failed = [this](const std::string &Why) {
