A listener is closed once nobody waits on it

Closing the listener resets connections that the kernel has made and nobody has accepted; their callers had sent their request already. Between the last accept and the close lay a turn of the loop, some ms beside load. Ruled out: a reset of an idle connection (the call was the first on it), the grace time (stop had 4.5 s).

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -81,8 +81,8 @@
   const Settings &Settings_;
   EventSink Sink_;
   OperatorViews Views_;
-  std::unique_ptr<WebServer> Callers_;
-  std::unique_ptr<WebServer> Operators_;
+  std::unique_ptr<WebListener> Callers_;
+  std::unique_ptr<WebListener> Operators_;
   PendingCalls<Pending> Calls_;
   asio::steady_timer PingTimer_;
   bool Closing_ = false;
@@ -192,16 +192,14 @@
     return answer(Request, 404, "text/plain", "no such path\n");
   }
 
-  /// @param Closed called for each connection that has ended; each server
-  ///        numbers its connections anew
-  std::unique_ptr<WebServer>
+  std::unique_ptr<WebListener>
   makeServer(const SocketAddress &Address, WebHandler OnRequest,
              std::function<void(restinio::connection_id_t)> Closed = nullptr) {
     const WebLimits Limits{
         ReadLimit,
         static_cast<std::size_t>(Settings_.Limits_.MaxBody_) + BodySlack};
-    return makeWebServer(Io_, Address, Limits, std::move(OnRequest),
-                         std::move(Closed));
+    return std::make_unique<WebListener>(
+        Io_, Address, Limits, std::move(OnRequest), std::move(Closed));
   }
 
   /// Callers of requests that are pending on a connection have left.
@@ -264,16 +262,9 @@
   I.Operators_ =
       I.makeServer(I.Settings_.OperatorListen_,
                    [&I](const auto &Request) { return I.onOperator(Request); });
-  const auto OnError = [Failed](const std::exception_ptr &Error) {
-    try {
-      std::rethrow_exception(Error);
-    } catch (const std::exception &E) {
-      Failed(E.what());
-    }
-  };
   if (!I.Settings_.onPlatform())
-    I.Callers_->open_async([] {}, OnError);
-  I.Operators_->open_async([] {}, OnError);
+    I.Callers_->open(Failed);
+  I.Operators_->open(Failed);
   I.armPings();
 }
 
@@ -413,7 +404,7 @@
 
 void HttpEdge::closeListener() {
   Impl_->Closing_ = true;
-  Impl_->Callers_->close_async([] {}, [](const std::exception_ptr &) {});
+  Impl_->Callers_->close();
 }
 
 bool HttpEdge::isIdle() const {
--- a/src/webserver.h
+++ b/src/webserver.h
@@ -7,7 +7,6 @@
 #include <chrono>
 #include <functional>
 #include <memory>
-#include <netinet/tcp.h>
 #include <restinio/all.hpp>
 #include <sys/socket.h>
 #include <unordered_set>
@@ -78,47 +77,29 @@
   std::size_t MaxBody_ = 0;               ///< Bytes.
 };
 
-constexpr int SilentCallerLimitMs = 10000;     // TCP_USER_TIMEOUT
-constexpr std::size_t MaxHeadField = 16 << 10; // bytes
-constexpr std::size_t MaxHeadFields = 100;
-constexpr auto WriteLimit = std::chrono::seconds(10); // one piece of answer
-constexpr auto HandleLimit = std::chrono::hours(2);   // the core has its own
-// With two the library goes on reading while an answer is pending, and so sees
-// that the caller has closed the connection.
-constexpr std::size_t RequestsInLine = 2;
-
-/// Makes a server that is not open yet.
-/// @param Closed called for each connection that has ended
-inline std::unique_ptr<WebServer>
-makeWebServer(asio::io_context &Io, const SocketAddress &Address,
+/// One RESTinio server on the process's own loop.
+class WebListener {
+public:
+  /// @param Closed called for each connection that has ended; each server
+  ///        numbers its connections anew
+  WebListener(asio::io_context &Io, const SocketAddress &Address,
               const WebLimits &Limits, WebHandler OnRequest,
-              std::function<void(restinio::connection_id_t)> Closed) {
-  auto Listener = std::make_shared<ConnectionListener>();
-  Listener->Closed_ = std::move(Closed);
-  return std::make_unique<WebServer>(
-      restinio::external_io_context(Io), [&](auto &S) {
-        S.address(Address.Ip_)
-            .port(static_cast<std::uint16_t>(Address.Port_))
-            .request_handler(OnRequest)
-            .connection_state_listener(Listener)
-            .max_pipelined_requests(RequestsInLine)
-            .read_next_http_message_timelimit(Limits.Idle_)
-            .write_http_response_timelimit(WriteLimit)
-            .handle_request_timeout(HandleLimit)
-            .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
-                                          .max_url_size(MaxHeadField)
-                                          .max_field_value_size(MaxHeadField)
-                                          .max_field_count(MaxHeadFields)
-                                          .max_body_size(Limits.MaxBody_))
-            .socket_options_setter([](auto &Options) {
-              Options.set_option(asio::ip::tcp::acceptor::reuse_address(true));
-              Options.set_option(asio::ip::tcp::no_delay(true));
-              Options.set_option(
-                  asio::detail::socket_option::integer<IPPROTO_TCP,
-                                                       TCP_USER_TIMEOUT>(
-                      SilentCallerLimitMs));
-            });
-      });
-}
+              std::function<void(restinio::connection_id_t)> Closed = nullptr);
+
+  /// Listens.
+  /// @param Failed called with the reason if the address can't be used
+  void open(std::function<void(std::string)> Failed);
+
+  /// Accepts the connections that callers have made already, which would be
+  /// reset otherwise, then stops listening.
+  void close();
+
+private:
+  void closeOnceEmpty(std::chrono::steady_clock::time_point Limit);
+
+  asio::io_context &Io_;
+  std::shared_ptr<int> Socket_ = std::make_shared<int>(-1);
+  WebServer Server_;
+};
 
 } // namespace endivewharf
--- /dev/null
+++ b/tests/webserver_test.cpp
@@ -0,0 +1,76 @@
+// The web server's own conduct towards callers.
+#include "webserver.h"
+
+#include <asio/io_context.hpp>
+#include <asio/write.hpp>
+#include <future>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr auto PlayTime = std::chrono::seconds(1);
+
+/// A server that answers everything, and callers on sockets of their own.
+class WebListenerTest : public ::testing::Test {
+protected:
+  WebListenerTest()
+      : Server_(Io_, {"127.0.0.1", freePort()}, WebLimits{}, [](const auto &R) {
+          return R->create_response().set_body("whole").done();
+        }) {}
+
+  int freePort() {
+    asio::ip::tcp::acceptor Any(Io_,
+                                {asio::ip::make_address_v4("127.0.0.1"), 0});
+    Port_ = Any.local_endpoint().port();
+    return Port_;
+  }
+
+  asio::ip::tcp::socket connect() {
+    asio::ip::tcp::socket Caller(Io_);
+    Caller.connect({asio::ip::make_address_v4("127.0.0.1"), Port_});
+    return Caller;
+  }
+
+  std::string answerTo(asio::ip::tcp::socket &Caller) {
+    std::string Got;
+    std::array<char, 4096> Piece{};
+    asio::error_code Error;
+    while (!Error && Got.find("whole") == std::string::npos)
+      Got.append(Piece.data(), Caller.read_some(asio::buffer(Piece), Error));
+    return Got;
+  }
+
+  std::uint16_t Port_ = 0;
+  asio::io_context Io_{1};
+  WebListener Server_;
+};
+
+} // namespace
+
+TEST_F(WebListenerTest, connections_madeBeforeClosing_areServed) {
+  Server_.open([](const std::string &Why) { FAIL() << Why; });
+  Io_.poll();
+  std::vector<asio::ip::tcp::socket> Callers;
+  for (int I = 0; I < 20; ++I) {
+    Callers.push_back(connect());
+    asio::write(Callers.back(), asio::buffer(Request));
+  }
+  Server_.close();
+  Io_.run_for(PlayTime);
+  for (asio::ip::tcp::socket &Caller : Callers)
+    EXPECT_NE(answerTo(Caller).find("200"), std::string::npos);
+}
+
+TEST_F(WebListenerTest, listener_closed_refusesNewConnections) {
+  Server_.open([](const std::string &Why) { FAIL() << Why; });
+  Io_.poll();
+  Server_.close();
+  Io_.run_for(PlayTime);
+  EXPECT_THROW(connect(), asio::system_error);
+}
+
+} // namespace endivewharf
