--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -2,6 +2,8 @@
 // engine, so that it can be gone on with elsewhere.
 #include "attempts.h"
 
+#include "checkedjson.h"
+
 #include <charconv>
 #include <fmt/format.h>
 #include <nlohmann/json.hpp>
@@ -170,7 +172,7 @@
     R.Ended_ = true;
     return true;
   }
-  const Json Chunk = Json::parse(Line, nullptr, false);
+  const Json Chunk = parseJson(Line);
   if (!Chunk.is_object())
     return false;
   try {
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -2,6 +2,8 @@
 // between processes, named fields in JSON in the log.
 #include "codec.h"
 
+#include "checkedjson.h"
+
 #include <array>
 #include <nlohmann/json.hpp>
 #include <optional>
@@ -394,8 +396,7 @@
 
 tl::expected<PeerEnvelope, CodecError> decodeMessage(std::string_view Bytes) {
   try {
-    // A size that is too large throws all the same.
-    const Json Whole = Json::from_cbor(Bytes.begin(), Bytes.end(), true, false);
+    const Json Whole = parseCbor(Bytes);
     if (Whole.is_discarded())
       return tl::unexpected(CodecError::NotCbor);
     PeerEnvelope Envelope;
@@ -418,7 +419,7 @@
 }
 
 tl::expected<LogRecord, CodecError> decodeRecord(std::string_view Text) {
-  const Json Body = Json::parse(Text, nullptr, false);
+  const Json Body = parseJson(Text);
   if (Body.is_discarded())
     return tl::unexpected(CodecError::NotJson);
   try {
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Of any unit; an int64_t holds sums of such numbers.
+constexpr double MaxNumber = 1e15;
+
 std::string lowerCase(std::string_view Text) {
   std::string Result(Text);
   std::transform(Result.begin(), Result.end(), Result.begin(), [](char C) {
@@ -79,18 +82,21 @@
   double positive(const IniSection &Section, const IniSection::Entry &Entry) {
     bool Ok = false;
     const double Number = parseNumber(Entry.Value_, Ok);
-    if (!Ok || Number <= 0)
-      Mistakes_.add(Section, Entry.Line_, Entry.Key_, "a number above 0");
-    return Number;
+    if (Ok && Number > 0 && Number <= MaxNumber)
+      return Number;
+    Mistakes_.add(Section, Entry.Line_, Entry.Key_,
+                  "a number above 0, at most 1e15");
+    return 1;
   }
 
   double notNegative(const IniSection &Section,
                      const IniSection::Entry &Entry) {
     bool Ok = false;
     const double Number = parseNumber(Entry.Value_, Ok);
-    if (!Ok || Number < 0)
-      Mistakes_.add(Section, Entry.Line_, Entry.Key_, "a number, 0 or above");
-    return Number;
+    if (Ok && Number >= 0 && Number <= MaxNumber)
+      return Number;
+    Mistakes_.add(Section, Entry.Line_, Entry.Key_, "a number from 0 to 1e15");
+    return 0;
   }
 
   int wholeNumber(const IniSection &Section, const IniSection::Entry &Entry) {
@@ -125,7 +131,8 @@
         Colon == std::string::npos
             ? 0
             : parseNumber(std::string_view(Entry.Value_).substr(Colon + 1), Ok);
-    if (!Ok || Number < 0 || Colon == 0) {
+    const bool Fits = Ok && Number >= 0 && Number <= MaxNumber;
+    if (!Fits || Colon == 0) {
       Mistakes_.add(Section, Entry.Line_, Entry.Key_, "NAME:NUMBER");
       return {};
     }
--- a/src/inifile.cpp
+++ b/src/inifile.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+// ms or bytes; sums of a few such values are far from an overflow.
+constexpr std::int64_t MaxValue = 1'000'000'000'000'000;
+
 /// Hands inih one line at a time, so that the line's number is known.
 struct IniReader {
   std::string_view Rest_;
@@ -65,7 +68,7 @@
     return tl::unexpected(std::monostate{});
   const std::string_view Rest(Result.ptr, End - Result.ptr);
   for (const Unit &Candidate : Units)
-    if (Rest == Candidate.Name_)
+    if (Rest == Candidate.Name_ && Number <= MaxValue / Candidate.Factor_)
       return Number * Candidate.Factor_;
   return tl::unexpected(std::monostate{});
 }
--- a/src/platform.cpp
+++ b/src/platform.cpp
@@ -1,6 +1,7 @@
 // Log service, host list, cloud API, probes and orders over HTTP and JSON.
 #include "platform.h"
 
+#include "checkedjson.h"
 #include "codec.h"
 
 #include <fmt/format.h>
@@ -44,7 +45,7 @@
 ProbeEnded probeOf(const Life &Host, const std::string &Text) {
   ProbeEnded Result;
   Result.Host_ = Host;
-  const Json Body = Json::parse(Text, nullptr, false);
+  const Json Body = parseJson(Text);
   if (!Body.is_object())
     return Result;
   try {
@@ -65,7 +66,7 @@
 } // namespace
 
 std::optional<std::vector<HostRow>> parseHosts(std::string_view Text) {
-  const Json Body = Json::parse(Text, nullptr, false);
+  const Json Body = parseJson(Text);
   if (!Body.is_object())
     return std::nullopt;
   try {
@@ -79,7 +80,7 @@
 }
 
 std::optional<LogRead> parseLogPage(std::string_view Text) {
-  const Json Body = Json::parse(Text, nullptr, false);
+  const Json Body = parseJson(Text);
   if (!Body.is_object())
     return std::nullopt;
   try {
@@ -154,7 +155,7 @@
   Request.TotalLimit_ = HostListLimit;
   fetch(Client_, std::move(Request),
         [this](const HttpResult &Result, const std::string &Body) {
-          const Json Page = Json::parse(Body, nullptr, false);
+          const Json Page = parseJson(Body);
           if (!isOk(Result) || !Page.is_object())
             return;
           try {
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -75,6 +75,15 @@
     reduce(S, {1, 1, 1, PeerReceived{*Message}});
 }
 
+TEST(CodecTest, message_nestedAMillionTimes_isATypedError) {
+  const std::string Nested(1'000'000, '\x81'); // arrays of one array
+  EXPECT_FALSE(decodeMessage(Nested));
+}
+
+TEST(CodecTest, record_numberBeyondItsType_isATypedError) {
+  EXPECT_FALSE(decodeRecord(R"({"type":"claim_done","status":1e30})"));
+}
+
 TEST(CodecTest, message_hugeSizeInItsHead_isATypedError) {
   EXPECT_FALSE(decodeMessage("\xBB"
                              "aaaaaaaa")
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -72,6 +72,19 @@
   EXPECT_FALSE(decodeConfiguration(R"({"routes":[{}],"services":[]})"));
 }
 
+TEST(WireTest, numbers_beyondTheirTypes_neverWrap) {
+  EXPECT_FALSE(
+      decodeMove(R"({"service":"s","target":"v2","durationS":1e300})"));
+  const auto Move = decodeMove(
+      R"({"service":"s","target":"v2","durationS":9223372036854775807})");
+  ASSERT_TRUE(Move);
+  EXPECT_GT(Move->Duration_, 0);
+  EXPECT_EQ(decodeNumber("9223372036854775807"), std::nullopt);
+  const auto Text = decodeConfiguration(
+      R"({"routes":[],"services":[{"name":"s","maxConns":4294967297}]})");
+  EXPECT_FALSE(Text && parseConfiguration(*Text, "test"));
+}
+
 TEST(WireTest, page_ofRecords_isReadAsWritten) {
   std::string Bytes(16, '\0');
   Bytes[7] = 9;
