One largest number for all that is read; a link's end outlives the link

IncomingLink called a callback that destroys the link, and with it the callback and what it had captured.

Change: MaxNumber in src/types.h, the only bound; floats beyond 1e15 are refused where 2^53 was the limit. The callback is moved out before it is called. A frame is built with one allocation. No other behaviour changes.

Ruled out on the way: a use of freed memory in the door when a write fails at once (the library touches nothing of the builder after its callback).

--- a/src/checkedjson.cpp
+++ b/src/checkedjson.cpp
@@ -1,6 +1,8 @@
 // The library's own builder of values, with checks before it.
 #include "checkedjson.h"
 
+#include "types.h"
+
 #include <cmath>
 
 namespace endivewharf {
@@ -12,15 +14,14 @@
 
 // The library's CBOR reader calls itself for each level.
 constexpr int MaxDepth = 64;
-// Beyond it a double holds no exact integer, and casts soon overflow.
-constexpr double MaxNumber = 9007199254740992.0; // 2^53
 
 class CheckedBuilder : public Builder {
 public:
   using Builder::Builder;
 
   bool number_float(double Value, const std::string &Text) {
-    if (!std::isfinite(Value) || std::abs(Value) > MaxNumber)
+    if (!std::isfinite(Value) ||
+        std::abs(Value) > static_cast<double>(MaxNumber))
       return false;
     // An integer type is read from it, be it written with a point or not.
     if (std::trunc(Value) == Value)
--- a/src/checkedjson.h
+++ b/src/checkedjson.h
@@ -8,7 +8,7 @@
 namespace endivewharf {
 
 /// @return the value; discarded if the text is no JSON, is too deep or holds a
-///         number beyond 2^53 that is not a plain integer
+///         number beyond `MaxNumber` that is not a plain integer
 nlohmann::json parseJson(std::string_view Text);
 
 /// The same for CBOR.
--- a/src/config.cpp
+++ b/src/config.cpp
@@ -11,8 +11,9 @@
 
 namespace {
 
-// Of any unit; an int64_t holds sums of such numbers.
-constexpr double MaxNumber = 1e15;
+bool fits(double Number) {
+  return Number >= 0 && Number <= static_cast<double>(MaxNumber);
+}
 
 std::string lowerCase(std::string_view Text) {
   std::string Result(Text);
@@ -82,7 +83,7 @@
   double positive(const IniSection &Section, const IniSection::Entry &Entry) {
     bool Ok = false;
     const double Number = parseNumber(Entry.Value_, Ok);
-    if (Ok && Number > 0 && Number <= MaxNumber)
+    if (Ok && Number > 0 && fits(Number))
       return Number;
     Mistakes_.add(Section, Entry.Line_, Entry.Key_,
                   "a number above 0, at most 1e15");
@@ -93,7 +94,7 @@
                      const IniSection::Entry &Entry) {
     bool Ok = false;
     const double Number = parseNumber(Entry.Value_, Ok);
-    if (Ok && Number >= 0 && Number <= MaxNumber)
+    if (Ok && fits(Number))
       return Number;
     Mistakes_.add(Section, Entry.Line_, Entry.Key_, "a number from 0 to 1e15");
     return 0;
@@ -131,8 +132,7 @@
         Colon == std::string::npos
             ? 0
             : parseNumber(std::string_view(Entry.Value_).substr(Colon + 1), Ok);
-    const bool Fits = Ok && Number >= 0 && Number <= MaxNumber;
-    if (!Fits || Colon == 0) {
+    if (!Ok || !fits(Number) || Colon == 0) {
       Mistakes_.add(Section, Entry.Line_, Entry.Key_, "NAME:NUMBER");
       return {};
     }
--- a/src/inifile.cpp
+++ b/src/inifile.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// ms or bytes; sums of a few such values are far from an overflow.
-constexpr std::int64_t MaxValue = 1'000'000'000'000'000;
-
 /// Hands inih one line at a time, so that the line's number is known.
 struct IniReader {
   std::string_view Rest_;
@@ -68,7 +65,7 @@
     return tl::unexpected(std::monostate{});
   const std::string_view Rest(Result.ptr, End - Result.ptr);
   for (const Unit &Candidate : Units)
-    if (Rest == Candidate.Name_ && Number <= MaxValue / Candidate.Factor_)
+    if (Rest == Candidate.Name_ && Number <= MaxNumber / Candidate.Factor_)
       return Number * Candidate.Factor_;
   return tl::unexpected(std::monostate{});
 }
--- a/src/link.cpp
+++ b/src/link.cpp
@@ -101,7 +101,9 @@
     return false;
   const LengthField Length =
       encodeLength(static_cast<std::uint32_t>(Message.size()));
-  std::string Bytes(Length.begin(), Length.end());
+  std::string Bytes;
+  Bytes.reserve(LengthBytes + Message.size());
+  Bytes.append(Length.begin(), Length.end());
   Bytes += Message;
   Waiting_.push_back(std::move(Bytes));
   if (Phase_ == Phase::Idle)
@@ -204,12 +206,12 @@
 
 void IncomingLink::readEnded(int Error) {
   if (Error != 0) {
-    OnEnd_();
+    end();
     return;
   }
   Got_ += nng_aio_count(Read_.aio());
   if (!InBody_ && Got_ == LengthBytes && !takeLength()) {
-    OnEnd_();
+    end();
     return;
   }
   if (InBody_ && Got_ == Body_.size()) {
@@ -220,6 +222,12 @@
   readNext();
 }
 
+/// The callback destroys this object, so that it may not live in it.
+void IncomingLink::end() {
+  const auto OnEnd = std::move(OnEnd_);
+  OnEnd();
+}
+
 /// @return false if no message is as long as that
 bool IncomingLink::takeLength() {
   const std::uint32_t Length = decodeLength(Length_);
--- a/src/link.h
+++ b/src/link.h
@@ -108,6 +108,7 @@
 private:
   void readNext();
   void readEnded(int Error);
+  void end();
   bool takeLength();
 
   StreamPointer Stream_;
--- a/src/types.h
+++ b/src/types.h
@@ -19,6 +19,10 @@
 
 constexpr LogOffset NoOffset = -1;
 
+/// Largest number, of any unit, that is taken from outside: sums of a few such
+/// numbers are far from an overflow, and a double holds each exactly.
+constexpr std::int64_t MaxNumber = 1'000'000'000'000'000;
+
 /// One header of a request or an answer.
 struct Header {
   std::string Name_;
