Upstreams that leave by header or ask for a pause; heads without end are cut

The client kept at most 200 fields of a head but read on, and trailers had no bound at all.

Change: the adapter turns both headers into UpstreamNotice; leaving is a fact of the life and goes to peers, a pause binds this process until its end whatever else is free. If nothing else is there, the request is refused at once and told when the first pause ends. A head with its interim answers and trailers may have 64 KB. A 421 says nothing of the host that was asked.

Ruled out: the library's own bound on heads (there is one, about 300 KB, but none on trailers); callers' heads, which http_parser bounds already (the new test passed before, the limit on field names is set all the same).

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -19,8 +19,9 @@
 constexpr long MaxIdleConnections = 512;
 constexpr std::size_t MaxIdleHandles = 128;
 constexpr std::string_view NotRunHeader = "x-not-run:";
-constexpr int SilentPeerLimitMs = 3000; // TCP_USER_TIMEOUT
-constexpr std::size_t MaxHeaders = 200; // kept of one answer
+constexpr int SilentPeerLimitMs = 3000;        // TCP_USER_TIMEOUT
+constexpr std::size_t MaxHeaders = 200;        // kept of one answer
+constexpr std::size_t MaxHeadBytes = 64 << 10; // of one answer, with trailers
 constexpr Millis MsPerSecond = 1000;
 
 bool startsWithNoCase(std::string_view Text, std::string_view Prefix) {
@@ -63,6 +64,7 @@
   DoneSink Done_;
   HeadSink Head_;
   Headers Answer_;
+  std::size_t HeadBytes_ = 0; ///< Interim heads count as well.
   int Sends_ = 0; ///< Connections on which the request was to be written.
   Millis StartedAt_ = 0;
   Millis LastByteAt_ = 0;
@@ -252,6 +254,11 @@
                                  std::size_t Count, void *User) {
   auto &T = *static_cast<Transfer *>(User);
   const std::string_view Line(Data, Size * Count);
+  T.HeadBytes_ += Line.size();
+  if (T.HeadBytes_ > MaxHeadBytes) {
+    T.Stopped_ = true; // a head without end
+    return 0;
+  }
   if (startsWithNoCase(Line, NotRunHeader))
     T.NotRun_ = true;
   if (startsWithNoCase(Line, "HTTP/")) {
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -82,6 +82,9 @@
   }
   void operator()(const CallerGone &E) const { onCallerGone(S_, E, Out_); }
   void operator()(const AttemptHead &E) const { onAttemptHead(S_, E); }
+  void operator()(const UpstreamNotice &E) const {
+    onUpstreamNotice(S_, E, Out_);
+  }
   void operator()(const OperatorRead &E) const { onOperatorRead(S_, E, Out_); }
   void operator()(const OperatorReadFailed &) const {
     onOperatorReadFailed(S_, Out_);
--- a/src/event.h
+++ b/src/event.h
@@ -87,6 +87,14 @@
   std::int64_t CachedTokens_ = 0;
 };
 
+/// What an upstream's answer says of the upstream itself, whatever comes of
+/// the attempt.
+struct UpstreamNotice {
+  AttemptId Attempt_ = 0;
+  bool Leaving_ = false; ///< It takes no new work from now on.
+  Millis Pause_ = 0;     ///< It wants nothing for so long; 0: not said.
+};
+
 struct AttemptFailed {
   AttemptId Attempt_ = 0;
   AttemptFailure Failure_ = AttemptFailure::Broken;
@@ -237,13 +245,12 @@
   Millis TimeLeft_ = 0; ///< 0: the drain limit of the settings.
 };
 
-using EventBody =
-    std::variant<RequestArrived, ResumeArrived, CallerGone, AttemptHead,
-                 AttemptToken, AttemptEnded, AttemptFailed, ServiceReply,
-                 PeerReceived, LogRead, LogReadFailed, AppendEnded,
-                 OperatorRead, OperatorReadFailed, HostsRead, HostsReadFailed,
-                 NoticesRead, ProbeEnded, MoveStateWritten, HostsOrdered,
-                 UsageReported, SettingsChanged, Tick, StopRequested>;
+using EventBody = std::variant<
+    RequestArrived, ResumeArrived, CallerGone, AttemptHead, UpstreamNotice,
+    AttemptToken, AttemptEnded, AttemptFailed, ServiceReply, PeerReceived,
+    LogRead, LogReadFailed, AppendEnded, OperatorRead, OperatorReadFailed,
+    HostsRead, HostsReadFailed, NoticesRead, ProbeEnded, MoveStateWritten,
+    HostsOrdered, UsageReported, SettingsChanged, Tick, StopRequested>;
 
 /// An event with the only time and randomness that the core sees.
 struct Event {
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -94,6 +94,20 @@
           "this process's configuration may be old: " + Detail, NotReadyRetry};
 }
 
+/// Time until the first upstream of a service that only asked for a pause may
+/// be used again; 0: there is none such.
+Millis pauseLeft(const State &S, const std::string &Service) {
+  Millis Left = 0;
+  for (const Upstream &U : S.Upstreams_) {
+    if (U.Row_.Service_ != Service || U.Leaving_ || !U.Listed_ ||
+        U.PausedUntil_ <= S.Now_)
+      continue;
+    const Millis Own = U.PausedUntil_ - S.Now_;
+    Left = Left == 0 ? Own : std::min(Left, Own);
+  }
+  return Left;
+}
+
 /// A stop may leave too little time for the whole answer; connections that
 /// were kept open go on bringing requests all the while.
 bool endsTooSoon(const State &S, const Call &C) {
@@ -165,7 +179,7 @@
   if (!isServed(S, C, ""))
     return CallError{ErrorKind::NoUpstream, RunState::NotRun,
                      fmt::format("no upstream serves {}", C.Lane_),
-                     NoUpstreamRetry};
+                     std::max(NoUpstreamRetry, pauseLeft(S, C.Lane_))};
   if (auto Error = checkLane(S, C))
     return Error;
   if (Holder != nullptr)
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -373,7 +373,8 @@
 }
 
 bool isUsable(const State &S, const Upstream &U) {
-  return !U.Leaving_ && U.Listed_ && S.Now_ >= U.AvoidUntil_;
+  return !U.Leaving_ && U.Listed_ && S.Now_ >= U.AvoidUntil_ &&
+         S.Now_ >= U.PausedUntil_;
 }
 
 int pickUpstream(State &S, const Call &C, std::string_view Version) {
--- a/src/state.h
+++ b/src/state.h
@@ -34,6 +34,7 @@
   double Limit_ = 16;      ///< Adaptive concurrency limit of this process.
   int FailuresInRow_ = 0;
   Millis AvoidUntil_ = 0;
+  Millis PausedUntil_ = 0; ///< It asked for nothing until then.
   Millis ProbedAt_ = 0;
   int InFlightAtProbe_ = 0;
   bool Probing_ = false;
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -195,6 +195,21 @@
     markLeaving(S, E.Host_, "engine", Out);
 }
 
+void onUpstreamNotice(State &S, const UpstreamNotice &E, Effects &Out) {
+  const auto Found = S.Attempts_.find(E.Attempt_);
+  if (Found == S.Attempts_.end())
+    return;
+  Upstream &U = S.Upstreams_[Found->second.Upstream_];
+  if (E.Leaving_)
+    markLeaving(S, U.Row_.Host_, "answer", Out);
+  if (E.Pause_ <= 0)
+    return;
+  U.PausedUntil_ = std::max(U.PausedUntil_, S.Now_ + E.Pause_);
+  logEvent(
+      Out, "upstream_paused",
+      {{"upstream", U.Row_.Host_.Name_}, {"for_ms", std::to_string(E.Pause_)}});
+}
+
 void noteAttemptOk(State &S, int Index) {
   Upstream &U = S.Upstreams_[Index];
   U.FailuresInRow_ = 0;
--- a/src/upstreams.h
+++ b/src/upstreams.h
@@ -19,6 +19,10 @@
 /// @return true if this life of a host is known to be leaving
 bool isLeaving(const State &S, const Life &Host);
 
+/// Takes what an answer says of its upstream: that it leaves, or that it wants
+/// nothing for a time. Both hold for this life of it, whatever else is known.
+void onUpstreamNotice(State &S, const UpstreamNotice &E, Effects &Out);
+
 /// Books how an attempt ended: adaptive limit, failures in a row.
 void noteAttemptOk(State &S, int Index);
 void noteAttemptFailed(State &S, int Index, AttemptFailure Failure);
--- a/src/webserver.cpp
+++ b/src/webserver.cpp
@@ -51,6 +51,7 @@
             .handle_request_timeout(HandleLimit)
             .incoming_http_msg_limits(restinio::incoming_http_msg_limits_t()
                                           .max_url_size(MaxHeadField)
+                                          .max_field_name_size(MaxHeadField)
                                           .max_field_value_size(MaxHeadField)
                                           .max_field_count(MaxHeadFields)
                                           .max_body_size(Limits.MaxBody_))
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -1,7 +1,7 @@
 // A server on the platform: runs plain requests and streams of events, checks
 // that it is the one expected, keeps books of what it ran. Faults by POST
-// /control: refuse, cut streams after some events, lose answers, answer as
-// somebody else.
+// /control: refuse, ask for a pause, say that it leaves, cut streams after some
+// events, lose answers, send a body without end.
 #include "web.h"
 
 #include <set>
@@ -10,7 +10,8 @@
 
 namespace {
 
-constexpr std::int64_t Events = 20; // of one stream
+constexpr std::int64_t Events = 20;             // of one stream
+constexpr std::size_t EndlessPiece = 256 << 10; // bytes
 
 class Server {
 public:
@@ -24,7 +25,8 @@
   void handle(const WebRequest &R, const WebReplyPtr &Reply) {
     if (R.Path_ == "/control") {
       control(parseBody(R));
-      Reply->json(200, {{"runs", Runs_}, {"seen", Seen_}});
+      Reply->json(200,
+                  {{"runs", Runs_}, {"seen", Seen_}, {"refused", Refused_}});
       return;
     }
     const std::string Id = value(R, "request-id");
@@ -33,9 +35,21 @@
       Reply->json(421, {{"error", "another server"}});
       return;
     }
+    if (EndlessBody_) {
+      Reply->header("Server-Seal", "seal-" + Given_.Name_);
+      Reply->header("Request-Id", Id);
+      Reply->begin("text/plain", [this] { EndlessBody_ = false; });
+      sendWithoutEnd(Reply);
+      return;
+    }
     Reply->header("Request-Id", Id);
+    if (Leaving_)
+      Reply->header("Server-Leaving", "1");
     if (Refuse_) {
+      ++Refused_;
       Reply->header("Not-Executed", "1");
+      if (!Pause_.empty())
+        Reply->header("Retry-After", Pause_);
       Reply->json(503, {{"error", "full"}});
       return;
     }
@@ -54,10 +68,23 @@
       Reply->send(200, "text/plain", "whole answer to " + Id);
   }
 
+  /// Bytes that are no event, for as long as the caller reads them.
+  void sendWithoutEnd(const WebReplyPtr &Reply) {
+    if (!EndlessBody_) {
+      Reply->cut();
+      return;
+    }
+    Reply->chunk(std::string(EndlessPiece, 'x'));
+    after(Io_, 2, [this, Reply] { sendWithoutEnd(Reply); });
+  }
+
   void control(const Json &Body) {
     Refuse_ = Body.value("refuse", Refuse_);
     LoseAnswers_ = Body.value("lose_answers", LoseAnswers_);
     CutAfter_ = Body.value("cut_after", CutAfter_);
+    Leaving_ = Body.value("leaving", Leaving_);
+    Pause_ = Body.value("pause", Pause_);
+    EndlessBody_ = Body.value("endless_body", EndlessBody_);
   }
 
   void stream(std::int64_t Next, const WebReplyPtr &Reply) {
@@ -87,6 +114,10 @@
   std::map<std::string, int> Runs_;
   std::map<std::string, Json> Seen_;
   bool Refuse_ = false;
+  int Refused_ = 0;
+  bool Leaving_ = false;
+  std::string Pause_; ///< Seconds, told with a refusal; empty: none.
+  bool EndlessBody_ = false;
   int LoseAnswers_ = 0;
   std::int64_t CutAfter_ = -1; ///< Events; below 0: streams are whole.
   Web Web_;
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -98,6 +98,46 @@
   EXPECT_EQ(get(0, "/check/1", "f2", "k1").Status_, 401);
 }
 
+TEST_F(PlatformProcessTest, server_leavesByHeader_getsNothingAfterItsAnswer) {
+  control(Servers_[0], {{"leaving", true}});
+  ASSERT_TRUE(waitFor([&] {
+    get(0, "/check/1", "w");
+    return runs("w") > 0 && books(0)["runs"].contains("w");
+  }));
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(get(0, "/check/1", fmt::format("l{}", I)).Status_, 200);
+  for (int I = 0; I < 20; ++I)
+    EXPECT_FALSE(books(0)["runs"].contains(fmt::format("l{}", I)));
+}
+
+TEST_F(PlatformProcessTest, server_asksForAPause_getsNothingUntilItsEnd) {
+  control(Servers_[0], {{"refuse", true}, {"pause", "2.5"}});
+  ASSERT_TRUE(waitFor([&] {
+    get(0, "/check/1", "w");
+    return books(0)["refused"].get<int>() > 0;
+  }));
+  const int Before = books(0)["refused"].get<int>();
+  usleep(500'000);
+  for (int I = 0; I < 20; ++I)
+    EXPECT_EQ(get(0, "/check/1", fmt::format("p{}", I)).Status_, 200);
+  EXPECT_EQ(books(0)["refused"].get<int>(), Before);
+}
+
+TEST_F(PlatformProcessTest, server_bodyWithoutEnd_isCutAndNoneOfItPassedOn) {
+  for (const int Port : Servers_)
+    control(Port, {{"endless_body", true}});
+  for (const char *Path : {"/check/1", "/book/1", "/stream/1"}) {
+    const HttpAnswer Answer = get(0, Path, fmt::format("e{}", Path));
+    EXPECT_GE(Answer.Status_, 500) << Path;
+    EXPECT_EQ(Answer.Body_.find("xxxx"), std::string::npos) << Path;
+    for (const int Port : Servers_)
+      control(Port, {{"endless_body", true}});
+  }
+  for (const int Port : Servers_)
+    control(Port, {{"endless_body", false}});
+  EXPECT_TRUE(waitFor([&] { return get(0, "/check/1", "s").Status_ == 200; }));
+}
+
 TEST_F(PlatformProcessTest, entry_stopped_cutsNoStream) {
   std::vector<HttpAnswer> Answers(4);
   std::vector<std::thread> Callers;
--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -58,6 +58,55 @@
   EXPECT_NE(one<StartAttempt>()->Host_, First.Host_);
 }
 
+TEST_F(RoutedTest, upstream_saysInAnAnswerThatItLeaves_getsNothingMore) {
+  const StartAttempt First = dispatched("/booking/1");
+  feed(UpstreamNotice{First.Attempt_, true, 0});
+  feed(ServiceReply{First.Attempt_, 200, "", "ok", {}});
+  for (int I = 0; I < 20; ++I) {
+    EXPECT_NE(dispatched("/booking/2").Host_, First.Host_);
+    after(100);
+  }
+}
+
+TEST_F(RoutedTest, upstream_asksForAPause_getsNothingUntilItsEnd) {
+  const StartAttempt First = dispatched("/booking/1");
+  feed(UpstreamNotice{First.Attempt_, false, 3000});
+  fail(First.Attempt_, AttemptFailure::Refused);
+  ASSERT_TRUE(one<StartAttempt>());
+  EXPECT_NE(one<StartAttempt>()->Host_, First.Host_);
+  bool Again = false;
+  for (int I = 0; I < 58; ++I) {
+    after(50);
+    Again = Again || dispatched("/check/1").Host_ == First.Host_;
+    feed(ServiceReply{one<StartAttempt>()->Attempt_, 200, "", "ok", {}});
+  }
+  EXPECT_FALSE(Again);
+  after(200);
+  for (int I = 0; I < 20; ++I)
+    Again = Again || dispatched("/check/1").Host_ == First.Host_;
+  EXPECT_TRUE(Again);
+}
+
+TEST_F(RoutedTest,
+       allUpstreams_askForAPause_requestIsRefusedAtOnceUntilItsEnd) {
+  for (int I = 0; I < 2; ++I) {
+    const StartAttempt Start = dispatched("/booking/1");
+    feed(UpstreamNotice{Start.Attempt_, false, 3000});
+    fail(Start.Attempt_, AttemptFailure::Refused);
+    after(50);
+    while (const auto More = one<StartAttempt>()) {
+      feed(UpstreamNotice{More->Attempt_, false, 3000});
+      fail(More->Attempt_, AttemptFailure::Refused);
+    }
+  }
+  after(1000);
+  send("/booking/1");
+  EXPECT_FALSE(one<StartAttempt>());
+  ASSERT_TRUE(one<RefuseCall>());
+  EXPECT_EQ(one<RefuseCall>()->Error_.Run_, RunState::NotRun);
+  EXPECT_GE(one<RefuseCall>()->Error_.RetryAfter_, 1500);
+}
+
 TEST_F(RoutedTest, unrepeatable_addressOfAnotherHost_goesElsewhere) {
   const StartAttempt First = dispatched("/booking/1");
   fail(First.Attempt_, AttemptFailure::OtherHost);
--- a/tests/webserver_test.cpp
+++ b/tests/webserver_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr std::string_view Request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::size_t MuchMore = 32 << 20; // bytes, beyond the buffers between
 constexpr auto PlayTime = std::chrono::seconds(1);
 
 /// A server that answers everything, and callers on sockets of their own.
@@ -65,6 +66,25 @@
     EXPECT_NE(answerTo(Caller).find("200"), std::string::npos);
 }
 
+TEST_F(WebListenerTest, headWithoutEnd_isCutOff) {
+  Server_.open([](const std::string &Why) { FAIL() << Why; });
+  Io_.poll();
+  for (const std::string Begin :
+       {"", "GET / HTTP/1.1\r\n", "GET / HTTP/1.1\r\nX: "}) {
+    asio::ip::tcp::socket Caller = connect();
+    Caller.non_blocking(true);
+    asio::error_code Error;
+    asio::write(Caller, asio::buffer(Begin), Error);
+    const std::string Piece(64 << 10, 'x');
+    std::size_t Sent = 0;
+    while (Sent < MuchMore && (!Error || Error == asio::error::would_block)) {
+      Sent += Caller.write_some(asio::buffer(Piece), Error);
+      Io_.poll();
+    }
+    EXPECT_LT(Sent, MuchMore) << Begin;
+  }
+}
+
 TEST_F(WebListenerTest, listener_closed_refusesNewConnections) {
   Server_.open([](const std::string &Why) { FAIL() << Why; });
   Io_.poll();
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -30,6 +30,15 @@
   EXPECT_FALSE(Row->Leaving_);
 }
 
+TEST(WireTest, seconds_withFractions_areReadAndBounded) {
+  EXPECT_EQ(decodeSeconds("2"), 2000);
+  EXPECT_EQ(decodeSeconds(" 0.25"), 250);
+  EXPECT_EQ(decodeSeconds("1e300"), MaxPause);
+  for (const char *Bad :
+       {"", "soon", "-1", "nan", "inf", "1 s", "Fri, 04 Dec 2026 11:00:00 GMT"})
+    EXPECT_FALSE(decodeSeconds(Bad)) << Bad;
+}
+
 TEST(WireTest, hostEntry_ofAnotherWriter_isATypedError) {
   for (const auto &[From, To] :
        std::vector<std::pair<std::string, std::string>>{
