Collectors sum up for their groups; a few read the store for all

Cause: each process told every other its sums twice a second (28,000 messages a second at 119 processes, each of which summed all members anew), asked the store for the host list and operators' words by itself, and told usage only to those it held alive. Those were few: far members were heard of by two rows in a digest, so at 119 a member 32 s away on average counted as silent after 12 s and was forgotten after 20 s. That is why usage was off by 40%.

Change: in a large group each process reports to a collector of its data centre, chosen by rank; collectors tell each other their groups' sums and their members the sums of all, from which a member takes its own report out. A silent collector is passed over after 1.5 s. Followers' readings of the store travel with the sums; a newer host list is asked of the peer that uses it. Usage goes to the followers, who are the ones that may hold the lease. Digests carry 40 far heartbeats, join records the life whose heartbeats they are. One log line in 10 s says what a process has asked of the platform.

Ruled out: merged rows pushed to random peers (the same sum can come twice by two ways and no bound on its age); all reports to the three followers (at 400 nodes 1 MB/s on each of their links, and nothing in a data centre cut off).

Found by the new tests: an old word of a follower that comes round again grew younger by the time of each hop, so a follower cut from the store was never replaced; two collectors that rank far processes differently never met; a heartbeat of a forgotten member ended the process by an exception.

--- a/bench/world.cpp
+++ b/bench/world.cpp
@@ -192,6 +192,10 @@
                    Cancelled_.insert({Index, E.Attempt_});
                  },
                  [&](const SendToPeer &E) { sendToPeer(Index, E); },
+                 [&](const SendToPeers &E) {
+                   for (const std::string &Peer : E.Peers_)
+                     sendToPeer(Index, {Peer, E.Message_});
+                 },
                  [&](const ReadLog &E) {
                    readLog(Index, Life, E.From_, Now_ + LogWait);
                  },
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -88,6 +88,7 @@
   F("facts_hash", R.FactsHash_);
   F("sequence", R.Sequence_);
   F("acknowledged", R.Acknowledged_);
+  F("unix_ms", R.UnixMs_);
 }
 template <Is<LoadRow> T, typename V> void fields(T &R, V &&F) {
   F("upstream", R.Upstream_);
@@ -98,6 +99,35 @@
   F("account", R.Account_);
   F("per_second", R.PerSecond_);
   F("admitted", R.Admitted_);
+  F("silent", R.Silent_);
+}
+template <Is<FollowerRow> T, typename V> void fields(T &R, V &&F) {
+  F("name", R.Name_);
+  F("hosts_hash", R.HostsHash_);
+  F("hosts_version", R.HostsVersion_);
+  F("hosts_age", R.HostsAge_);
+  F("hosts_read_at", R.HostsReadAt_);
+  F("config_version", R.ConfigVersion_);
+  F("config_age", R.ConfigAge_);
+}
+template <Is<IncludedRow> T, typename V> void fields(T &R, V &&F) {
+  F("life", R.LifeHash_);
+  F("sequence", R.Sequence_);
+}
+template <Is<HostRow> T, typename V> void fields(T &R, V &&F) {
+  F("host", R.Host_);
+  F("address", R.Address_);
+  F("data_centre", R.DataCentre_);
+  F("zone", R.Zone_);
+  F("kind", R.Kind_);
+  F("service", R.Service_);
+  F("leaving", R.Leaving_);
+  F("checks_epoch", R.ChecksEpoch_);
+  F("price", R.Price_);
+  F("version", R.Version_);
+  F("slots", R.Slots_);
+  F("spot", R.Spot_);
+  F("cold_left", R.ColdLeft_);
 }
 template <Is<UsageRow> T, typename V> void fields(T &R, V &&F) {
   F("window", R.Window_);
@@ -118,6 +148,23 @@
   F("hosts_hash", R.HostsHash_);
   F("hosts_version", R.HostsVersion_);
   F("unix_ms", R.UnixMs_);
+  F("scope", R.Scope_);
+  F("processes", R.Processes_);
+  F("sequence", R.Sequence_);
+  F("included", R.Included_);
+  F("followers", R.Followers_);
+  F("collectors", R.Collectors_);
+  F("list_hash", R.ListHash_);
+  F("list_version", R.ListVersion_);
+}
+template <Is<UsageMessage> T, typename V> void fields(T &R, V &&F) {
+  F("rows", R.Rows_);
+}
+template <Is<HostsRequestMessage> T, typename V> void fields(T &, V &&) {}
+template <Is<HostsMessage> T, typename V> void fields(T &R, V &&F) {
+  F("version", R.Version_);
+  F("hosts", R.Hosts_);
+  F("back_for", R.BackFor_);
 }
 template <Is<FactsMessage> T, typename V> void fields(T &R, V &&F) {
   F("leaving", R.Leaving_);
@@ -309,8 +356,17 @@
     readObject(Item, To.emplace_back());
 }
 
+SumsScope readScope(int Number) {
+  if (Number == static_cast<int>(SumsScope::Process))
+    return SumsScope::Process;
+  return Number == static_cast<int>(SumsScope::All) ? SumsScope::All
+                                                    : SumsScope::Group;
+}
+
 template <typename T> void readPlain(const Json &From, T &To) {
-  if constexpr (std::is_enum_v<T>)
+  if constexpr (std::same_as<T, SumsScope>)
+    To = readScope(From.get<int>());
+  else if constexpr (std::is_enum_v<T>)
     To = From.get<int>() == 0 ? T{} : static_cast<T>(1);
   else
     To = From.get<T>();
@@ -346,9 +402,9 @@
 // --- Types by number and name ---
 
 constexpr std::array MessageNames = {
-    "digest",          "facts",      "control",
-    "control_request", "handover",   "handover_ack",
-    "find_call",       "found_call", "sums"};
+    "digest",   "facts",        "control",       "control_request",
+    "handover", "handover_ack", "find_call",     "found_call",
+    "sums",     "usage",        "hosts_request", "hosts"};
 constexpr std::array RecordNames = {
     "config",  "note",  "lease_acquire", "lease_renew", "share",
     "verdict", "claim", "claim_release", "claim_done",  "snapshot",
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -4,6 +4,7 @@
 #include "controllog.h"
 
 #include "claims.h"
+#include "collectors.h"
 #include "fleet.h"
 #include "lease.h"
 #include "membership.h"
@@ -19,10 +20,11 @@
 
 namespace {
 
-constexpr Millis LogWait = 1500;         // ms for records to come
-constexpr Millis RarePeriod = 5000;      // ms between reads of a bystander
-constexpr Millis LogRetryPeriod = 250;   // ms after a failure
-constexpr Millis SnapshotPeriod = 30000; // ms
+constexpr Millis LogWait = 1500;    // ms for records to come
+constexpr Millis RarePeriod = 5000; // ms between reads of a bystander
+constexpr Millis LargeGroupRarePeriod = 60000; // ms; peers tell the rest
+constexpr Millis LogRetryPeriod = 250;         // ms after a failure
+constexpr Millis SnapshotPeriod = 30000;       // ms
 constexpr Millis GenesisPatience = 2 * SnapshotPeriod; // ms without a base
 constexpr std::size_t MaxRejections = 32;              // kept for operators
 constexpr std::size_t MaxBatch = 256;                  // records an append
@@ -199,7 +201,8 @@
 /// store read our own records now and then, shares come from peers.
 bool isLogReadDue(const State &S) {
   return !S.Settings_.onPlatform() || !S.Log_.SawTail_ || followsStore(S) ||
-         S.Now_ - S.Log_.ReadStartedAt_ >= RarePeriod;
+         S.Now_ - S.Log_.ReadStartedAt_ >=
+             (isLargeGroup(S) ? LargeGroupRarePeriod : RarePeriod);
 }
 
 void noteRetention(State &S, LogOffset Earliest) {
@@ -271,6 +274,7 @@
   if (!Log.Reading_ && S.Now_ >= Log.RetryAt_ && isLogReadDue(S)) {
     Log.Reading_ = true;
     Log.ReadStartedAt_ = S.Now_;
+    count(S, "own_log_reads");
     Out.push_back(ReadLog{Log.Next_, LogWait});
   }
   if (Log.PendingAppend_ != 0 || S.Now_ < Log.RetryAt_)
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "calls.h"
 #include "claims.h"
+#include "collectors.h"
 #include "controllog.h"
 #include "dispatch.h"
 #include "fleet.h"
@@ -29,6 +30,7 @@
 
 namespace {
 
+constexpr Millis CallsTold = 10000;   // ms between two lines
 constexpr Millis PeerPatience = 1500; // ms to wait for the log at start
 
 /// A process serves once it knows the newest configuration that the log or,
@@ -48,6 +50,24 @@
             {"source", FromLog ? "log" : "peers"}});
 }
 
+/// One line now and then of what this process has asked of the platform.
+void tellPlatformCalls(State &S, Effects &Out) {
+  if (!S.Settings_.onPlatform() || S.Now_ - S.CallsToldAt_ < CallsTold)
+    return;
+  S.CallsToldAt_ = S.Now_;
+  const auto Count = [&](const char *Name) {
+    return std::to_string(S.Counters_.Values_[Name]);
+  };
+  logEvent(Out, "platform_calls",
+           {{"own_log_reads", Count("own_log_reads")},
+            {"operator_log_reads", Count("operator_log_reads")},
+            {"host_list_reads", Count("host_list_reads")},
+            {"appends", Count("log_appends")},
+            {"follows", followsStore(S) ? "yes" : "no"},
+            {"collector", isCollector(S) ? "self" : S.Membership_.Collector_},
+            {"peer_messages", Count("peer_messages")}});
+}
+
 void onTick(State &S, Effects &Out) {
   tickUpstreams(S, Out);
   tickAdmission(S);
@@ -64,6 +84,7 @@
     tickFleet(S, Out);
     tickRouted(S, Out);
   }
+  tellPlatformCalls(S, Out);
   tickCalls(S, Out);
   tickStop(S, Out);
   tickStart(S, Out);
--- a/src/effect.h
+++ b/src/effect.h
@@ -118,6 +118,12 @@
   CallError Error_;
 };
 
+/// Sends the same message to several peers.
+struct SendToPeers {
+  std::vector<std::string> Peers_;
+  PeerMessage Message_;
+};
+
 struct SendToPeer {
   std::string Peer_;
   PeerMessage Message_;
@@ -211,10 +217,10 @@
     std::variant<StartAttempt, CancelAttempt, StartStream, SendToken,
                  FinishStream, MoveStream, ReplyWhole, ReplyService,
                  ReplyRouted, StartRoutedStream, CutCall, RefuseCall,
-                 SendToPeer, KnowPeer, ReconnectPeer, ReadLog, AppendToLog,
-                 ReadOperator, WriteMoveState, OrderHosts, ReportUsage,
-                 ReadHosts, ReadNotices, ProbeUpstream, OrderLoad, WriteLog,
-                 CloseListener, ExitProcess>;
+                 SendToPeer, SendToPeers, KnowPeer, ReconnectPeer, ReadLog,
+                 AppendToLog, ReadOperator, WriteMoveState, OrderHosts,
+                 ReportUsage, ReadHosts, ReadNotices, ProbeUpstream, OrderLoad,
+                 WriteLog, CloseListener, ExitProcess>;
 
 using Effects = std::vector<Effect>;
 
--- a/src/event.h
+++ b/src/event.h
@@ -156,23 +156,6 @@
   bool Refused_ = false; ///< Nothing was written: the log ended elsewhere.
 };
 
-/// One host as the host list shows it.
-struct HostRow {
-  Life Host_;
-  std::string Address_; ///< `http://ip:port`.
-  std::string DataCentre_;
-  std::string Zone_;
-  UpstreamKind Kind_ = UpstreamKind::Model;
-  std::string Service_; ///< Name of the plain service.
-  bool Leaving_ = false;
-  bool ChecksEpoch_ = false; ///< Refuses orders with an old fencing number.
-  double Price_ = 1;         ///< Per hour.
-  std::string Version_;      ///< Of its software; empty: not told.
-  int Slots_ = 0;            ///< Requests it runs at once; 0: not told.
-  bool Spot_ = false;        ///< May be reclaimed, with all of its zone.
-  Millis ColdLeft_ = 0;      ///< Time for which it is still slow.
-};
-
 struct HostsRead {
   std::vector<HostRow> Hosts_;
   LogOffset Version_ = 0; ///< Grows with each change; 0: not known.
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -1,6 +1,7 @@
 // Plans and orders hosts of services.
 #include "fleet.h"
 
+#include "collectors.h"
 #include "controllog.h"
 #include "lease.h"
 #include "record.h"
@@ -57,9 +58,10 @@
   double Sum = Own == S.Fleet_.Work_.end()
                    ? 0
                    : std::max(Own->second.Fast_, Own->second.Slow_);
-  for (const auto &[Name, M] : S.Membership_.Members_)
-    for (const WorkRow &Row : M.Sums_.Work_)
-      if (M.Alive_ && Row.Service_ == Service)
+  for (const Member *M : sumsSources(S))
+    for (const WorkRow &Row : M->Sums_.Work_)
+      if ((isLargeGroup(S) ? isHeard(S, *M) : M->Alive_) &&
+          Row.Service_ == Service)
         Sum += Row.MsPerSecond_;
   return goesBySavedWork(S) ? std::max(Sum, savedWork(S, Service)) : Sum;
 }
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -2,13 +2,16 @@
 // digests go within a data centre; across, a few rows are enough.
 #include "membership.h"
 
+#include "collectors.h"
 #include "controllog.h"
 #include "evidence.h"
+#include "followers.h"
 #include "handover.h"
 #include "record.h"
 #include "release.h"
 #include "sums.h"
 #include "upstreams.h"
+#include "usage.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -29,13 +32,14 @@
 constexpr std::size_t RumourTargets = 5;       // peers told of a new fact
 constexpr std::size_t Followers = 3;           // of the platform's store
 constexpr std::uint64_t FollowerSeed = 4;      // of the hash that ranks them
-constexpr Millis FollowerSilence = 2500;       // ms without sums
+constexpr Millis FollowerSilence = 2500;       // ms without a word of reading
 constexpr Millis SeedsCount = 5000;  // ms after the start; then peers are known
 constexpr Millis GreetPeriod = 500;  // ms between digests to unknown seeds
 constexpr Millis ForgetTime = 20000; // ms of silence
 constexpr std::size_t Judges = 3;    // processes that collect evidence
 constexpr Millis NewsTime = 15000;   // ms for which a life is new
 constexpr std::size_t NewRows = 12;  // new lives' rows in a digest
+constexpr std::size_t FarBeats = 40; // heartbeats from afar in a digest
 constexpr std::size_t ExtraRows = 2; // other members' rows in a digest
 
 std::vector<std::string> peerNames(const State &S, bool OnlyAlive) {
@@ -71,10 +75,6 @@
   return Sum;
 }
 
-std::uint32_t lifeHash(const Life &L) {
-  return static_cast<std::uint32_t>(hashText(L.Name_, L.Incarnation_));
-}
-
 bool isSmallGroup(const State &S) {
   return S.Membership_.Members_.size() <= SmallGroup;
 }
@@ -100,6 +100,19 @@
   }
 }
 
+/// Heartbeats of some members of other data centres: what a process hears of
+/// those directly is too little to tell whether they live.
+void addFarBeats(State &S, DigestMessage &Digest) {
+  std::vector<const MemberRow *> Far;
+  for (const auto &[Name, M] : S.Membership_.Members_)
+    if (M.Alive_ && M.Row_.DataCentre_ != S.Settings_.DataCentre_)
+      Far.push_back(&M.Row_);
+  for (std::size_t I = 0; I < std::min(FarBeats, Far.size()); ++I) {
+    std::swap(Far[I], Far[I + nextRandom(S) % (Far.size() - I)]);
+    Digest.Beats_.push_back({lifeHash(Far[I]->Life_), Far[I]->Heartbeat_});
+  }
+}
+
 DigestMessage makeDigest(State &S, Member &To) {
   DigestMessage Digest;
   Digest.Members_.push_back(ownRow(S));
@@ -116,12 +129,15 @@
     if (S.Now_ - M.KnownSince_ < NewsTime)
       New.push_back(&M.Row_);
   }
+  if (S.Settings_.onPlatform())
+    addFarBeats(S, Digest);
   // Rows are needed once in a life: those of new lives go first, a few others
   // at random.
   addRandomRows(S, New, NewRows, Digest);
   addRandomRows(S, Known, ExtraRows, Digest);
   Digest.ControlVersion_ = S.Control_.Version_;
   Digest.FactsHash_ = factsHash(S);
+  Digest.UnixMs_ = S.Settings_.onPlatform() ? trueUnixMs(S) : 0;
   Digest.Sequence_ = ++To.SequenceSent_;
   Digest.Acknowledged_ = To.SequenceSeen_;
   return Digest;
@@ -221,7 +237,10 @@
   const auto Found = S.Membership_.NameByLife_.find(B.LifeHash_);
   if (Found == S.Membership_.NameByLife_.end())
     return; // its row will come
-  Member &M = S.Membership_.Members_.at(Found->second);
+  const auto Known = S.Membership_.Members_.find(Found->second);
+  if (Known == S.Membership_.Members_.end())
+    return; // forgotten since
+  Member &M = Known->second;
   if (lifeHash(M.Row_.Life_) != B.LifeHash_ ||
       B.Heartbeat_ <= M.Row_.Heartbeat_)
     return;
@@ -255,6 +274,8 @@
     const auto Found = S_.Membership_.Members_.find(From_);
     if (Found == S_.Membership_.Members_.end())
       return;
+    if (D.UnixMs_ != 0)
+      noteClock(S_, From_, D.UnixMs_);
     Found->second.SequenceSeen_ = D.Sequence_;
     Found->second.Acknowledged_ = D.Acknowledged_;
     const bool NewerConfig =
@@ -294,6 +315,14 @@
   }
   void operator()(const FoundCallMessage &M) const { onFoundCall(S_, M, Out_); }
   void operator()(const SumsMessage &M) const { onSums(S_, Sender_, M, Out_); }
+  void operator()(const UsageMessage &M) const {
+    onUsageTold(S_, Sender_, M.Rows_);
+  }
+  void operator()(const HostsRequestMessage &) const {
+    if (S_.HostsVersion_ != 0)
+      Out_.push_back(SendToPeer{From_, hostsMessage(S_)});
+  }
+  void operator()(const HostsMessage &M) const { onHostsTold(S_, M, Out_); }
 };
 
 /// Addresses on the platform: told to all by the log, greeted by the settings.
@@ -317,6 +346,10 @@
 
 } // namespace
 
+std::uint32_t lifeHash(const Life &L) {
+  return static_cast<std::uint32_t>(hashText(L.Name_, L.Incarnation_));
+}
+
 std::size_t groupSize(const State &S) {
   const std::size_t Known = S.Membership_.Members_.size() + 1;
   const bool New = S.Now_ - S.StartedAt_ < SeedsCount;
@@ -324,24 +357,42 @@
                    New ? S.Settings_.Seeds_.size() : std::size_t{1}});
 }
 
+std::uint64_t followerRank(std::string_view Name) {
+  return hashText(Name, FollowerSeed);
+}
+
 bool followsStore(const State &S) {
   if (groupSize(S) <= Followers + 1)
     return true;
-  const std::uint64_t Own = hashText(S.Self_.Name_, FollowerSeed);
-  const auto Before =
-      std::count_if(S.Membership_.Members_.begin(),
-                    S.Membership_.Members_.end(), [&](const auto &Entry) {
-                      const Member &M = Entry.second;
-                      return M.SumsAt_ >= 0 &&
-                             S.Now_ - M.SumsAt_ < FollowerSilence &&
-                             M.Sums_.HostsHash_ != 0 && !M.Row_.Draining_ &&
-                             hashText(Entry.first, FollowerSeed) < Own;
-                    });
+  const std::uint64_t Own = followerRank(S.Self_.Name_);
+  const Millis Silence =
+      isLargeGroup(S) ? LargeGroupFollowerSilence : FollowerSilence;
+  const auto Before = std::count_if(
+      S.Membership_.Followers_.begin(), S.Membership_.Followers_.end(),
+      [&](const auto &Entry) {
+        const auto Known = S.Membership_.Members_.find(Entry.first);
+        const bool Draining = Known != S.Membership_.Members_.end() &&
+                              Known->second.Row_.Draining_;
+        return S.Now_ - Entry.second.HeardAt_ < Silence && !Draining &&
+               followerRank(Entry.first) < Own;
+      });
   return Before < static_cast<std::ptrdiff_t>(Followers);
 }
 
 void onJoin(State &S, const JoinRecord &R, Effects &Out) {
   learnAddress(S, R.Row_, Out);
+  const Life &Joined = R.Row_.Life_;
+  const auto Found = S.Membership_.Members_.find(Joined.Name_);
+  if (Found == S.Membership_.Members_.end() ||
+      Joined.Incarnation_ <= Found->second.Row_.Life_.Incarnation_)
+    return;
+  // Whether it still lives is for its heartbeats to tell, which name its life
+  // by the hash alone.
+  Member &M = Found->second;
+  M.Row_.Life_ = Joined;
+  M.Row_.Heartbeat_ = 0;
+  M.KnownSince_ = S.Now_;
+  S.Membership_.NameByLife_[lifeHash(Joined)] = Joined.Name_;
 }
 
 void onPeerReceived(State &S, const PeerReceived &E, Effects &Out) {
--- a/src/membership.h
+++ b/src/membership.h
@@ -9,12 +9,22 @@
 
 void onPeerReceived(State &S, const PeerReceived &E, Effects &Out);
 
+/// Hash by which short rows name a life.
+std::uint32_t lifeHash(const Life &L);
+
 /// Learns from the log where a process is reached.
 void onJoin(State &S, const JoinRecord &R, Effects &Out);
 
 /// @return processes that there may be, with this one, heard or not
 std::size_t groupSize(const State &S);
 
+/// In a large group words of a follower come by others: ms until it counts as
+/// silent.
+constexpr Millis LargeGroupFollowerSilence = 4000;
+
+/// Order in which processes become followers, the lowest first.
+std::uint64_t followerRank(std::string_view Name);
+
 /// Few processes follow the platform's store closely and tell the others what
 /// they see; in a small group all do. One that can't reach it tells nothing,
 /// and the next in order takes its part.
--- a/src/messages.h
+++ b/src/messages.h
@@ -25,6 +25,23 @@
   }
 };
 
+/// One host as the host list shows it.
+struct HostRow {
+  Life Host_;
+  std::string Address_; ///< `http://ip:port`.
+  std::string DataCentre_;
+  std::string Zone_;
+  UpstreamKind Kind_ = UpstreamKind::Model;
+  std::string Service_; ///< Name of the plain service.
+  bool Leaving_ = false;
+  bool ChecksEpoch_ = false; ///< Refuses orders with an old fencing number.
+  double Price_ = 1;         ///< Per hour.
+  std::string Version_;      ///< Of its software; empty: not told.
+  int Slots_ = 0;            ///< Requests it runs at once; 0: not told.
+  bool Spot_ = false;        ///< May be reclaimed, with all of its zone.
+  Millis ColdLeft_ = 0;      ///< Time for which it is still slow.
+};
+
 // --- Facts that every process may add and none may take back ---
 
 /// This life of a host gets no new work.
@@ -112,6 +129,7 @@
   std::uint64_t FactsHash_ = 0;
   std::uint64_t Sequence_ = 0;
   std::uint64_t Acknowledged_ = 0; ///< Last sequence got from the receiver.
+  std::int64_t UnixMs_ = 0; ///< True time, as the sender believes; 0: not told.
 };
 
 /// What one process has under way at an upstream.
@@ -121,11 +139,12 @@
   int PrefillMs_ = 0; ///< Of prompts without a first event.
 };
 
-/// Units that an account asks for at one process.
+/// Units that an account asks for at the processes that a message sums up.
 struct DemandRow {
   std::string Account_;
   double PerSecond_ = 0;
-  double Admitted_ = 0; ///< Units admitted there in the sender's life.
+  double Admitted_ = 0; ///< Units admitted there, as far as the sender heard.
+  double Silent_ = 0;   ///< Per second, at processes that fell silent.
 };
 
 /// Requests of an account that began to run in one window.
@@ -141,6 +160,30 @@
   double MsPerSecond_ = 0; ///< Of hosts' time.
 };
 
+/// What one follower has read of the platform's store.
+struct FollowerRow {
+  std::string Name_;
+  std::uint64_t HostsHash_ = 0; ///< Of the host list; 0: it can't be read.
+  LogOffset HostsVersion_ = 0;
+  Millis HostsAge_ = 0;
+  Millis HostsReadAt_ = 0; ///< On the follower's own clock.
+  LogOffset ConfigVersion_ = NoOffset;
+  Millis ConfigAge_ = 0; ///< Below 0: not read yet.
+};
+
+/// A report that a collector's sums have in them.
+struct IncludedRow {
+  std::uint32_t LifeHash_ = 0;
+  std::uint64_t Sequence_ = 0;
+};
+
+/// Whom a message sums up.
+enum class SumsScope {
+  Group,   ///< The sender and the processes that report to it.
+  Process, ///< Only the sender, who reports to the receiver.
+  All      ///< All processes, for those that report to the sender.
+};
+
 /// Sums that the sender keeps; each message replaces the one before.
 struct SumsMessage {
   std::vector<LoadRow> Loads_;
@@ -152,6 +195,31 @@
   std::uint64_t HostsHash_ = 0; ///< Of the host list; 0: not followed there.
   LogOffset HostsVersion_ = 0;  ///< Of that list; grows with its changes.
   std::int64_t UnixMs_ = 0;     ///< True time, as the sender believes.
+  SumsScope Scope_ = SumsScope::Group;
+  std::int64_t Processes_ = 1; ///< Summed up.
+  std::uint64_t Sequence_ = 0; ///< Of a report.
+  std::vector<IncludedRow> Included_;
+  std::vector<FollowerRow> Followers_;  ///< Others whom the sender heard of.
+  std::vector<std::string> Collectors_; ///< Heard of, by a collector.
+  std::uint64_t ListHash_ = 0;          ///< Of the host list in use there.
+  LogOffset ListVersion_ = 0;
+};
+
+/// What began to run in the sender's life, for those who report usage.
+struct UsageMessage {
+  std::vector<UsageRow> Rows_;
+};
+
+/// Asks for the host list that the receiver uses.
+struct HostsRequestMessage {};
+
+/// The sender's host list, for a receiver whose list is older.
+struct HostsMessage {
+  LogOffset Version_ = 0;
+  std::vector<HostRow> Hosts_;
+  /// Time since the sender's reads succeeded again after failures; below 0:
+  /// they have not failed.
+  Millis BackFor_ = -1;
 };
 
 /// Facts and evidence; merging is idempotent and order does not matter.
@@ -209,7 +277,8 @@
 using PeerMessage =
     std::variant<DigestMessage, FactsMessage, ControlMessage,
                  ControlRequestMessage, HandoverMessage, HandoverAckMessage,
-                 FindCallMessage, FoundCallMessage, SumsMessage>;
+                 FindCallMessage, FoundCallMessage, SumsMessage, UsageMessage,
+                 HostsRequestMessage, HostsMessage>;
 
 /// A message with its sender.
 struct PeerEnvelope {
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -1,7 +1,9 @@
 // The order of the operators' log decides: a later record holds, always.
 #include "operatorlog.h"
 
+#include "collectors.h"
 #include "controllog.h"
+#include "followers.h"
 #include "membership.h"
 #include "record.h"
 #include "rollout.h"
@@ -58,7 +60,11 @@
   OperatorState &O = S.Operator_;
   if (!S.Settings_.onPlatform() || O.Reading_ || S.Now_ < O.RetryAt_)
     return;
+  // In a large group followers' words are enough while they come.
+  if (O.SawTail_ && isLargeGroup(S) && !followsStore(S) && hearsOperators(S))
+    return;
   O.Reading_ = true;
+  count(S, "operator_log_reads");
   Out.push_back(
       ReadOperator{O.Next_, followsStore(S) ? FollowerWait : OthersWait});
 }
--- a/src/peers.cpp
+++ b/src/peers.cpp
@@ -39,18 +39,28 @@
 }
 
 void PeerLinks::send(const SendToPeer &E) {
-  const auto Found = Peers_.find(E.Peer_);
+  write(E.Peer_, E.Message_, encodeMessage({Self_, E.Message_}));
+}
+
+void PeerLinks::send(const SendToPeers &E) {
+  const std::string Bytes = encodeMessage({Self_, E.Message_});
+  for (const std::string &Peer : E.Peers_)
+    write(Peer, E.Message_, Bytes);
+}
+
+void PeerLinks::write(const std::string &Name, const PeerMessage &Message,
+                      const std::string &Bytes) {
+  const auto Found = Peers_.find(Name);
   if (Found == Peers_.end())
     return;
   Peer &To = Found->second;
   if (!To.Link_)
     To.Link_ = std::make_unique<OutgoingLink>(Io_, To.Address_);
-  const std::string Bytes = encodeMessage({Self_, E.Message_});
   // A full queue drops the message: a digest will bring what it said.
   if (!To.Link_->send(Bytes))
     return;
   BytesSent_ += static_cast<std::int64_t>(Bytes.size());
-  BytesByType_[std::string(messageName(E.Message_))] +=
+  BytesByType_[std::string(messageName(Message))] +=
       static_cast<std::int64_t>(Bytes.size());
 }
 
--- a/src/peers.h
+++ b/src/peers.h
@@ -28,6 +28,7 @@
   tl::expected<void, LinkError> open();
 
   void send(const SendToPeer &E);
+  void send(const SendToPeers &E);
 
   /// Remembers where a peer is reached, or forgets the peer.
   void know(const KnowPeer &E);
@@ -47,6 +48,8 @@
     std::unique_ptr<OutgoingLink> Link_; ///< Null until something is sent.
   };
 
+  void write(const std::string &To, const PeerMessage &Message,
+             const std::string &Bytes);
   void accepted(StreamPointer Stream);
   void deliver(const std::string &Bytes);
 
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -3,6 +3,7 @@
 // second; a copy may go into debt, which is paid back before more is admitted.
 #include "quota.h"
 
+#include "collectors.h"
 #include "membership.h"
 
 #include <algorithm>
@@ -47,19 +48,18 @@
   double Sum = Q.Demand_;
   double Silent = 0;
   std::size_t Heard = 1;
-  std::size_t Unheard = 0;
-  for (const auto &[Name, M] : S.Membership_.Members_) {
-    const DemandRow *Row = demandRow(M, Account);
+  for (const Member *M : sumsSources(S)) {
+    const DemandRow *Row = demandRow(*M, Account);
     const double Demand = Row == nullptr ? 0 : Row->PerSecond_;
-    Sum += Demand;
-    if (M.SumsAt_ >= 0 && S.Now_ - M.SumsAt_ < FreshSums) {
-      ++Heard;
-      continue;
-    }
-    ++Unheard;
-    Silent += Demand;
+    const double SilentThere = Row == nullptr ? 0 : Row->Silent_;
+    Sum += Demand + SilentThere;
+    Silent += SilentThere;
+    if (M->SumsAt_ >= 0 && S.Now_ - M->SumsAt_ < FreshSums)
+      Heard += static_cast<std::size_t>(M->Sums_.Processes_);
+    else
+      Silent += Demand;
   }
-  if (Unheard == 0 && Heard >= groupSize(S))
+  if (Heard >= groupSize(S))
     return 1;
   const double Equal = equalPart(S);
   const double ByDemand = Sum > 0 ? 1 - Silent / Sum : 1;
@@ -146,7 +146,11 @@
   for (const DemandRow &Row : Now.Demands_) {
     const DemandRow *Old = SameLife ? demandRow(Before, Row.Account_) : nullptr;
     const double Since = Old == nullptr ? 0 : Old->Admitted_;
-    quotaOf(S, Row.Account_).Units_ -= Row.Admitted_ - Since;
+    QuotaState &Q = quotaOf(S, Row.Account_);
+    Q.Units_ -= Row.Admitted_ - Since;
+    Q.Heard_ += Row.Admitted_ - Since;
+    if (Now.Scope_ == SumsScope::Process)
+      Q.InGroup_ += Row.Admitted_ - Since;
   }
 }
 
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -121,6 +121,7 @@
   void operator()(const OrderHosts &E) { Adapter_->Duties_.order(E); }
   void operator()(const ReportUsage &E) { Adapter_->Duties_.report(E); }
   void operator()(const SendToPeer &E) { Peers_.send(E); }
+  void operator()(const SendToPeers &E) { Peers_.send(E); }
   void operator()(const ReconnectPeer &E) { Peers_.reconnect(E.Peer_); }
   void operator()(const ReadLog &E) {
     if (Adapter_)
--- a/src/state.h
+++ b/src/state.h
@@ -203,7 +203,8 @@
   bool Available_ = false;
   bool SawTail_ = false;
   Millis RetryAt_ = 0;
-  Millis FreshAt_ = -1; ///< End of the last successful read.
+  Millis FreshAt_ = -1; ///< End of the last read, here or at a follower.
+  Millis ToldAt_ = -1;  ///< When a follower's reading was heard of.
 };
 
 struct ConfigState {
@@ -306,6 +307,8 @@
   double Units_ = 0;    ///< Left for all processes; below 0: debt.
   Millis FilledAt_ = 0; ///< 0: not yet.
   double Admitted_ = 0; ///< Units admitted here in this life.
+  double InGroup_ = 0;  ///< Heard from processes that report here.
+  double Heard_ = 0;    ///< Heard from all others.
   double Demand_ = 0;   ///< Units asked for here, per second, averaged.
   double Asked_ = 0;    ///< Since the average was taken.
   double Part_ = 1;     ///< Of rate and burst, to go by here.
@@ -330,7 +333,6 @@
   std::map<std::int64_t, std::vector<UsageRow>> Proposed_; ///< As asked for.
   std::map<std::string, std::int64_t> PeersAhead_; ///< Their time less ours.
   bool ClockSettled_ = false;
-  Millis SumsSentAt_ = 0;
   std::int64_t ClockOffset_ = 0; ///< Unix time less the monotonic clock.
   bool ClockKnown_ = false;
 };
@@ -383,6 +385,15 @@
   SumsMessage Sums_;
   Millis SumsAt_ = -1;
   std::uint64_t SumsLife_ = 0; ///< Incarnation that told them.
+  bool CountsUs_ = false;      ///< Its sums of all have had ours in them.
+  Millis UsageAt_ = -1;        ///< When it told what began to run there.
+  Millis SuspectUntil_ = 0;    ///< No collector until then: it was silent.
+};
+
+/// What a follower has told, by itself or through others.
+struct FollowerState {
+  FollowerRow Row_; ///< Ages count from `HeardAt_`.
+  Millis HeardAt_ = 0;
 };
 
 struct MembershipState {
@@ -393,6 +404,18 @@
   std::unordered_map<std::uint32_t, std::string> NameByLife_; ///< By hash.
   std::uint64_t Heartbeat_ = 0;
   Millis DigestAt_ = 0;
+
+  std::string Collector_; ///< That this process reports to; empty: itself.
+  Millis CollectorSince_ = 0;
+  std::deque<SumsMessage> Reports_; ///< The last ones sent, as they were.
+  std::uint64_t ReportSequence_ = 0;
+  Millis SumsSentAt_ = 0;
+  Millis ReportSentAt_ = 0;
+  Millis UsageSentAt_ = 0;
+  std::map<std::string, FollowerState> Followers_; ///< By name.
+  std::map<std::string, Millis> Collectors_; ///< By name: when told of last.
+  std::uint64_t NewsTold_ = 0; ///< Of host list and configuration.
+  bool LoadsChanged_ = false;  ///< Others' loads are to be added up again.
 };
 
 // --- The process ---
@@ -472,6 +495,8 @@
   Millis HostsReadAt_ = -1;
   Millis HostsConfirmedAt_ = -1; ///< When a follower's list was the same.
   bool HostsDiffer_ = false;     ///< A follower's list was another one.
+  Millis HostsBehindSince_ = 0;  ///< Since when one is newer; 0: none is.
+  Millis HostsAskedAt_ = 0;      ///< When a peer was asked for its list.
   Millis HostsKnownAt_ = -1;     ///< When the list was last read, whole.
   LogOffset HostsVersion_ = 0;   ///< Of the list; grows with its changes.
   /// Since when others have told lists read while ours can't be; 0: none has.
@@ -480,6 +505,7 @@
   Millis HostsBackAt_ = 0;       ///< First success after failures.
   Millis NoticesReadAt_ = -1;
   bool Ready_ = false;
+  Millis CallsToldAt_ = 0; ///< When the calls to the platform were logged.
 };
 
 /// Service or model whose moves to other versions concern a call.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -1,6 +1,7 @@
 // Upstream health: evidence in, restrictions out.
 #include "upstreams.h"
 
+#include "collectors.h"
 #include "membership.h"
 #include "record.h"
 #include "router.h"
@@ -12,9 +13,12 @@
 
 namespace {
 
-constexpr Millis HostListPeriod = 500;      // ms between reads
-constexpr Millis DifferentListPeriod = 250; // ms, when it has changed
-constexpr Millis ConfirmedTime = 1200;      // ms without a word of a reader
+constexpr Millis HostListPeriod = 500; // ms between reads
+// Three followers read in turn, and peers tell what is new at once.
+constexpr Millis LargeGroupListPeriod = 1000;    // ms
+constexpr Millis LargeGroupConfirmedTime = 3000; // ms
+constexpr Millis DifferentListPeriod = 250;      // ms, when it has changed
+constexpr Millis ConfirmedTime = 1200; // ms without a word of a reader
 // ms; a store that is back shows here by then, as reads are repeated.
 constexpr Millis OthersReadTime = 1500;
 constexpr Millis ReturnTime = 2300;     // ms after the store's return
@@ -86,11 +90,14 @@
   if (S.HostsReadAt_ < 0)
     return true;
   const Millis Age = S.Now_ - S.HostsReadAt_;
+  const bool Large = isLargeGroup(S);
   if (!S.Settings_.onPlatform() || followsStore(S))
-    return Age >= HostListPeriod;
+    return Age >= (Large ? LargeGroupListPeriod : HostListPeriod);
   if (S.HostsDiffer_)
     return Age >= DifferentListPeriod;
-  return Age >= HostListPeriod && S.Now_ - S.HostsConfirmedAt_ >= ConfirmedTime;
+  return Age >= HostListPeriod &&
+         S.Now_ - S.HostsConfirmedAt_ >=
+             (Large ? LargeGroupConfirmedTime : ConfirmedTime);
 }
 
 } // namespace
@@ -116,14 +123,14 @@
   spreadFacts(S, {{Fact}, {}, {}}, "", Out);
 }
 
-void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
+void adoptHosts(State &S, std::span<const HostRow> Hosts, LogOffset Version,
+                Effects &Out) {
   std::vector<bool> WasListed;
   for (Upstream &U : S.Upstreams_) {
     WasListed.push_back(U.Listed_);
     U.InList_ = false;
   }
-  noteHostsBack(S);
-  for (const HostRow &Row : E.Hosts_) {
+  for (const HostRow &Row : Hosts) {
     const auto Found = S.UpstreamByLife_.find(Row.Host_);
     if (Found == S.UpstreamByLife_.end()) {
       addUpstream(S, Row, Out);
@@ -144,9 +151,18 @@
   for (std::size_t I = 0; I < WasListed.size(); ++I)
     S.PoolsChanged_ =
         S.PoolsChanged_ || S.Upstreams_[I].Listed_ != WasListed[I];
+  S.HostsVersion_ = Version;
+  S.HostsBehindSince_ = 0;
+}
+
+void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
+  noteHostsBack(S);
   S.HostsReadAt_ = S.Now_;
+  // A peer's list may be newer than what a slow read brings.
+  if (E.Version_ != 0 && E.Version_ < S.HostsVersion_)
+    return;
+  adoptHosts(S, E.Hosts_, E.Version_, Out);
   S.HostsKnownAt_ = S.Now_;
-  S.HostsVersion_ = E.Version_;
 }
 
 void onHostsReadFailed(State &S, Effects &Out) {
@@ -247,6 +263,7 @@
   if (isHostReadDue(S)) {
     S.HostsReadAt_ = S.Now_;
     S.HostsDiffer_ = false;
+    count(S, "host_list_reads");
     Out.push_back(ReadHosts{});
   }
   // On the platform leaving hosts say so in the list.
--- a/src/upstreams.h
+++ b/src/upstreams.h
@@ -4,8 +4,15 @@
 
 #include "state.h"
 
+#include <span>
+
 namespace endivewharf {
 
+/// Takes a host list in place of the one in use.
+/// @param Version grows with each change of the list; 0: not known
+void adoptHosts(State &S, std::span<const HostRow> Hosts, LogOffset Version,
+                Effects &Out);
+
 void onHostsRead(State &S, const HostsRead &E, Effects &Out);
 void onHostsReadFailed(State &S, Effects &Out);
 void onNoticesRead(State &S, const NoticesRead &E, Effects &Out);
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -86,7 +86,7 @@
 bool allHeardSince(const State &S, Millis Then) {
   return std::all_of(
       S.Membership_.Members_.begin(), S.Membership_.Members_.end(),
-      [&](const auto &Entry) { return Entry.second.SumsAt_ >= Then; });
+      [&](const auto &Entry) { return Entry.second.UsageAt_ >= Then; });
 }
 
 /// A window is decided when all have told what they counted in it, or when
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -97,6 +97,8 @@
       for (const Effect &E : after(50))
         if (const auto *Sent = std::get_if<SendToPeer>(&E))
           Samples.push_back(encodeMessage({{"entry-2", 9}, Sent->Message_}));
+        else if (const auto *All = std::get_if<SendToPeers>(&E))
+          Samples.push_back(encodeMessage({{"entry-2", 9}, All->Message_}));
     }
     return Samples;
   }
