--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -302,6 +302,10 @@
   A.WindowStart_ = S.Now_;
 }
 
+bool hasRetry(const State &S, const Call &C) {
+  return laneOf(S, C.Lane_).RetryBudget_ >= 1;
+}
+
 bool takeRetry(State &S, const Call &C) {
   LaneState &Lane = S.Admission_.Lanes_[C.Lane_];
   if (Lane.RetryBudget_ < 1)
--- a/src/admission.h
+++ b/src/admission.h
@@ -59,6 +59,9 @@
 /// time with jitter, so that refused callers don't return as one wave.
 Millis retryAfter(State &S, const Call &C);
 
+/// @return true if the budget has room for one more retry of a call's service
+bool hasRetry(const State &S, const Call &C);
+
 /// Takes one retry from the budget of a call's lane.
 /// @return false if the budget is spent
 bool takeRetry(State &S, const Call &C);
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -283,6 +283,9 @@
 
 int HttpClient::onBeforeSend(void *User, char *, char *, int, int) {
   auto &T = *static_cast<Transfer *>(User);
+  const Millis Limit = T.Request_.SendBy_;
+  if (Limit != 0 && monotonicNow() >= Limit)
+    return CURL_PREREQFUNC_ABORT;
   return ++T.Sends_ == 1 ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
 }
 
--- a/src/client.h
+++ b/src/client.h
@@ -29,6 +29,9 @@
   Millis TotalLimit_ = 0;
   Millis MaxIdle_ = 0; ///< Of a connection to reuse; 0: the library's choice.
   bool Fresh_ = false; ///< Neither reuse a connection nor keep this one.
+  /// Monotonic time after which the request is not written any more, however
+  /// long this process was paused meanwhile; 0: none.
+  Millis SendBy_ = 0;
   /// Giving the transfer up takes back what a cut network has not delivered.
   bool ResetOnEnd_ = false;
 };
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -82,6 +82,7 @@
     tickQuotas(S);
     tickUsage(S, Out);
     tickFleet(S, Out);
+    tickAttempts(S, Out);
     tickRouted(S, Out);
   }
   tellPlatformCalls(S, Out);
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -67,6 +67,25 @@
   return {S.Release_.Moves_.at(moveKey(C)).Row_.From_, false, First.Note_};
 }
 
+/// @return true if a call that an upstream has may run at so many more
+bool mayRunElsewhere(const Call &C, int Upstreams) {
+  return C.Repeat_ != Repeat::Never &&
+         C.Uncertain_ + Upstreams <= C.MaxUpstreams_;
+}
+
+/// Time for an upstream to begin its answer where others are left to ask.
+Millis firstAnswerLimit(const Call &C) {
+  return std::max(MinFirstByteLimit, C.Objective_ * ObjectivesToFirstByte);
+}
+
+/// @return true if a stream has been without an event for too long
+bool hasStalled(const State &S, const Call &C, const Attempt &A) {
+  const Millis Passed = S.Now_ - A.LastProgressAt_;
+  if (A.FirstTokenAt_ == 0)
+    return mayRunElsewhere(C, 2) && Passed > firstAnswerLimit(C);
+  return mayRunElsewhere(C, 1) && Passed > S.Settings_.Limits_.ProgressLimit_;
+}
+
 /// What only routed calls need.
 void fillRouted(const State &S, const Call &C, const Upstream &U,
                 StartAttempt &Start) {
@@ -78,15 +97,17 @@
   Start.ResumeAfter_ =
       C.IndexKnown_ ? C.NextIndex_ - 1 : C.Request_.ResumeAfter_;
   Start.Urgency_ = std::min(MaxUrgency, C.Rank_);
+  // A stream is judged by its events, not by its bytes; see stalledAttempts().
   Start.FirstByteLimit_ = Start.TimeLeft_;
+  Start.ProgressLimit_ = 0;
   // A reused connection may have died unseen: what runs once at the most goes
   // only where one was used a moment ago.
   Start.MaxIdle_ = C.Repeat_ == Repeat::Free ? MaxIdleRepeatable : MaxIdleOnce;
-  if (C.Repeat_ != Repeat::Never && C.MaxUpstreams_ > C.Uncertain_ + 1)
-    Start.FirstByteLimit_ = std::min(
-        Start.TimeLeft_,
-        std::max(MinFirstByteLimit, C.Objective_ * ObjectivesToFirstByte));
+  if (C.Events_ || !mayRunElsewhere(C, 1))
+    return;
   Start.ProgressLimit_ = S.Settings_.Limits_.ProgressLimit_;
+  if (mayRunElsewhere(C, 2))
+    Start.FirstByteLimit_ = std::min(Start.TimeLeft_, firstAnswerLimit(C));
 }
 
 void startAttempt(State &S, Call &C, int Index, const VersionChoice &Choice,
@@ -211,6 +232,18 @@
   return Taken;
 }
 
+std::vector<AttemptId> stalledAttempts(const State &S) {
+  std::vector<AttemptId> Stalled;
+  for (const auto &[Id, A] : S.Attempts_) {
+    const auto Found = S.Calls_.find(A.Call_);
+    if (Found != S.Calls_.end() && Found->second.Events_ &&
+        hasStalled(S, Found->second, A))
+      Stalled.push_back(Id);
+  }
+  std::sort(Stalled.begin(), Stalled.end());
+  return Stalled;
+}
+
 void cancelAttempt(State &S, Call &C, Effects &Out) {
   if (C.Attempt_ == 0)
     return;
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -4,6 +4,7 @@
 #include "state.h"
 
 #include <optional>
+#include <vector>
 
 namespace endivewharf {
 
@@ -13,6 +14,10 @@
 /// Puts a claimed call into the queue for an upstream.
 void releaseToQueue(State &S, Call &C, Effects &Out);
 
+/// Streams whose upstream has sent no event for too long and that may go on
+/// elsewhere; one that may not is left to its upstream until its time is up.
+std::vector<AttemptId> stalledAttempts(const State &S);
+
 /// Stops a call's attempt, if it has one.
 void cancelAttempt(State &S, Call &C, Effects &Out);
 
--- a/src/effect.h
+++ b/src/effect.h
@@ -173,6 +173,7 @@
   std::string Zone_;
   int Count_ = 0;
   bool Spot_ = false;
+  Millis ValidUntil_ = 0; ///< End of the lease: not to be sent after it.
 };
 
 /// Reports what accounts used in one window.
@@ -180,6 +181,7 @@
   LogOffset Epoch_ = NoOffset;
   std::int64_t Window_ = 0;
   std::map<std::string, std::int64_t> Counts_; ///< Requests by account.
+  Millis ValidUntil_ = 0; ///< End of the lease: not to be sent after it.
 };
 
 struct ReadHosts {};
@@ -198,6 +200,7 @@
   LogOffset Epoch_ = NoOffset;
   std::string Model_;
   std::string Version_;
+  Millis ValidUntil_ = 0; ///< End of the lease: not to be sent after it.
 };
 
 /// One structured log line.
--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -171,8 +171,8 @@
             {"spot", Spot ? "yes" : "no"},
             {"present", std::to_string(Present)},
             {"wanted", std::to_string(Wanted)}});
-  Out.push_back(
-      OrderHosts{O.Id_, S.Lease_.Epoch_, Service, Zone, Wanted, Spot});
+  Out.push_back(OrderHosts{O.Id_, S.Lease_.Epoch_, Service, Zone, Wanted, Spot,
+                           S.Lease_.HeldUntil_});
 }
 
 void planService(State &S, const ServiceEntry &Service, Effects &Out) {
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -208,6 +208,19 @@
   dispatchWaiting(S, Out);
 }
 
+void tickAttempts(State &S, Effects &Out) {
+  for (const AttemptId Id : stalledAttempts(S)) {
+    const auto Found = S.Attempts_.find(Id);
+    if (Found == S.Attempts_.end())
+      continue;
+    if (!hasRetry(S, S.Calls_.at(Found->second.Call_)))
+      continue; // a slow stream is better than none
+    Out.push_back(CancelAttempt{Id});
+    onAttemptFailed(
+        S, {Id, AttemptFailure::Silent, false, "no event for too long"}, Out);
+  }
+}
+
 void onServiceReply(State &S, const ServiceReply &E, Effects &Out) {
   const auto Taken = takeAttempt(S, E.Attempt_);
   if (!Taken)
--- a/src/outcomes.h
+++ b/src/outcomes.h
@@ -10,6 +10,9 @@
 void onAttemptFailed(State &S, const AttemptFailed &E, Effects &Out);
 void onServiceReply(State &S, const ServiceReply &E, Effects &Out);
 
+/// Takes streams from upstreams that have stalled.
+void tickAttempts(State &S, Effects &Out);
+
 /// Sends the head of a streamed answer, once.
 void startStreamIfNeeded(State &S, Call &C, Effects &Out);
 
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -108,8 +108,8 @@
 void report(State &S, std::int64_t Window, Effects &Out) {
   S.Usage_.Reporting_ = Window;
   S.Usage_.SentAt_ = S.Now_;
-  Out.push_back(
-      ReportUsage{S.Lease_.Epoch_, Window, S.Usage_.Decided_.at(Window)});
+  Out.push_back(ReportUsage{S.Lease_.Epoch_, Window,
+                            S.Usage_.Decided_.at(Window), S.Lease_.HeldUntil_});
 }
 
 /// Once after the start: a process that started while its host's time of day
--- a/tests/client_test.cpp
+++ b/tests/client_test.cpp
@@ -98,4 +98,31 @@
       "X: " + std::string(1000, 'x') + "\r\n");
 }
 
+/// A permission that runs out before the request can be written: the process
+/// was paused, or connecting took too long.
+TEST(SendByTest, permission_runOut_requestIsNotWritten) {
+  asio::io_context Io;
+  asio::ip::tcp::acceptor Server(Io,
+                                 {asio::ip::make_address_v4("127.0.0.1"), 0});
+  HttpClient Client(Io);
+  for (const Millis Left : {Millis{-1}, Millis{5000}}) {
+    HttpRequest Request;
+    Request.Url_ =
+        "http://127.0.0.1:" + std::to_string(Server.local_endpoint().port()) +
+        "/";
+    Request.SendBy_ = monotonicNow() + Left;
+    Request.TotalLimit_ = 500;
+    std::optional<HttpResult> Result;
+    fetchWhole(Client, std::move(Request), 1000,
+               [&](const HttpResult &R, const std::string &) {
+                 Result = R;
+                 Io.stop();
+               });
+    Io.restart();
+    Io.run_for(PlayTime);
+    ASSERT_TRUE(Result);
+    EXPECT_EQ(Result->End_ == TransferEnd::NotSent, Left < 0);
+  }
+}
+
 } // namespace endivewharf
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -2,6 +2,7 @@
 // servers as stand-ins, faults from outside.
 #include "platformcluster.h"
 
+#include <atomic>
 #include <csignal>
 #include <fmt/format.h>
 #include <unistd.h>
@@ -138,6 +139,38 @@
   EXPECT_TRUE(waitFor([&] { return get(0, "/check/1", "s").Status_ == 200; }));
 }
 
+TEST_F(PlatformProcessTest, entry_stoppedUnderLoad_answersAllThatItTook) {
+  std::atomic<bool> Ends = false;
+  std::atomic<int> Cut = 0;
+  std::atomic<int> Whole = 0;
+  std::vector<std::thread> Callers;
+  for (int I = 0; I < 6; ++I)
+    Callers.emplace_back([&, I] {
+      for (int N = 0; !Ends; ++N) {
+        HttpRequest Request;
+        Request.Url_ = url(0, "/check/1");
+        Request.Headers_ = headers(fmt::format("s{}-{}", I, N), "k1");
+        Request.TotalLimit_ = 5000;
+        Request.Fresh_ = N % 2 == 0;
+        const HttpResult Result =
+            Connection().ask(Request, [](std::string_view) {});
+        if (Result.End_ == TransferEnd::Complete)
+          ++Whole;
+        else if (Result.End_ != TransferEnd::NotSent)
+          ++Cut;
+      }
+    });
+  usleep(300'000);
+  Children_.at("entry-0")->signal(SIGTERM);
+  EXPECT_TRUE(waitFor(
+      [&] { return Children_.at("entry-0")->ended().has_value(); }, 9000));
+  Ends = true;
+  for (std::thread &Caller : Callers)
+    Caller.join();
+  EXPECT_GT(Whole, 50);
+  EXPECT_EQ(Cut, 0);
+}
+
 TEST_F(PlatformProcessTest, entry_stopped_cutsNoStream) {
   std::vector<HttpAnswer> Answers(4);
   std::vector<std::thread> Callers;
--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -107,6 +107,64 @@
   EXPECT_GE(one<RefuseCall>()->Error_.RetryAfter_, 1500);
 }
 
+TEST_F(RoutedTest, stream_bytesButNoEventForTooLong_goesOnElsewhere) {
+  const StartAttempt First = dispatched("/report/1");
+  feed(AttemptToken{First.Attempt_, 1, "id: 1\n\n"});
+  bool Cancelled = false;
+  std::optional<StartAttempt> Second;
+  for (int I = 0; I < 60 && !Second; ++I) {
+    after(50);
+    Cancelled = Cancelled || one<CancelAttempt>();
+    Second = one<StartAttempt>();
+  }
+  EXPECT_TRUE(Cancelled);
+  ASSERT_TRUE(Second);
+  EXPECT_NE(Second->Host_, First.Host_);
+  EXPECT_EQ(Second->ResumeAfter_, 1);
+}
+
+TEST_F(RoutedTest, stream_slowAndNotToBeResumed_isLeftToItsUpstream) {
+  const StartAttempt First = dispatched("/question/1");
+  EXPECT_EQ(First.ProgressLimit_, 0);
+  feed(AttemptToken{First.Attempt_, 1, "id: 1\n\n"});
+  for (int I = 0; I < 54; ++I) {
+    after(50);
+    EXPECT_FALSE(one<CancelAttempt>());
+    EXPECT_FALSE(one<CutCall>());
+  }
+  feed(AttemptToken{First.Attempt_, 2, "id: 2\n\n"});
+  EXPECT_TRUE(one<SendToken>());
+}
+
+TEST_F(RoutedTest, stream_slowWithinItsLimit_isNotMoved) {
+  const StartAttempt First = dispatched("/report/1");
+  for (int Index = 1; Index < 8; ++Index) {
+    feed(AttemptToken{First.Attempt_, Index, "id: 1\n\n"});
+    for (int I = 0; I < 35; ++I) {
+      after(50);
+      EXPECT_FALSE(one<CancelAttempt>());
+    }
+  }
+}
+
+TEST_F(RoutedTest, host_missingFromTheList_keepsItsStreamsAndGetsNoneNew) {
+  const StartAttempt First = dispatched("/report/1");
+  feed(AttemptToken{First.Attempt_, 1, "id: 1\n\n"});
+  std::vector<HostRow> Less = hosts();
+  std::erase_if(
+      Less, [&](const HostRow &Row) { return Row.Host_.Name_ == First.Host_; });
+  feed(HostsRead{Less});
+  EXPECT_FALSE(one<CancelAttempt>());
+  for (int I = 2; I < 20; ++I) {
+    after(500);
+    EXPECT_FALSE(one<StartAttempt>());
+    EXPECT_FALSE(one<CancelAttempt>());
+    feed(AttemptToken{First.Attempt_, I, "id: 1\n\n"});
+    EXPECT_TRUE(one<SendToken>());
+  }
+  EXPECT_NE(dispatched("/report/2").Host_, First.Host_);
+}
+
 TEST_F(RoutedTest, unrepeatable_addressOfAnotherHost_goesElsewhere) {
   const StartAttempt First = dispatched("/booking/1");
   fail(First.Attempt_, AttemptFailure::OtherHost);
--- a/tests/sums_test.cpp
+++ b/tests/sums_test.cpp
@@ -61,8 +61,8 @@
   sums("entry-2", 9, M);
   ASSERT_TRUE(one<SendToPeer>());
   EXPECT_EQ(one<SendToPeer>()->Peer_, "entry-2");
-  EXPECT_TRUE(std::holds_alternative<HostsRequestMessage>(
-      one<SendToPeer>()->Message_));
+  EXPECT_TRUE(
+      std::holds_alternative<HostsRequestMessage>(one<SendToPeer>()->Message_));
   std::vector<HostRow> More = hosts();
   More.push_back(host("o9", "orders", "a", 1));
   feed(PeerReceived{{{"entry-2", 9}, HostsMessage{OwnVersion + 1, More, -1}}});
