--- a/tests/group_test.cpp
+++ b/tests/group_test.cpp
@@ -3,6 +3,7 @@
 #include "collectors.h"
 #include "membership.h"
 #include "platformgroup.h"
+#include "samples.h"
 
 #include <cmath>
 #include <deque>
@@ -46,12 +47,7 @@
 )";
 
 HostRow host(int I, bool Leaving = false) {
-  HostRow Row;
-  Row.Host_ = {"o" + std::to_string(I), 1};
-  Row.Address_ = "http://10.1.1.1:80";
-  Row.DataCentre_ = Row.Zone_ = "a";
-  Row.Kind_ = UpstreamKind::Service;
-  Row.Service_ = "orders";
+  HostRow Row = sampleHost("o" + std::to_string(I), "orders", "a", 1);
   Row.Slots_ = 1000;
   Row.Leaving_ = Leaving;
   return Row;
--- a/tests/platformfixture.h
+++ b/tests/platformfixture.h
@@ -4,6 +4,7 @@
 
 #include "core.h"
 #include "record.h"
+#include "samples.h"
 
 #include <gtest/gtest.h>
 #include <optional>
@@ -102,16 +103,7 @@
 
   static HostRow host(const std::string &Name, const std::string &Service,
                       const std::string &Zone, std::uint64_t Born) {
-    HostRow Row;
-    Row.Host_ = {Name, Born};
-    Row.Address_ = "http://10.1.1.1:80";
-    Row.DataCentre_ = Zone;
-    Row.Zone_ = Zone;
-    Row.Kind_ = UpstreamKind::Service;
-    Row.Service_ = Service;
-    Row.Version_ = "v1";
-    Row.Slots_ = 8;
-    return Row;
+    return sampleHost(Name, Service, Zone, Born);
   }
 
   Effects feed(EventBody Body) {
@@ -125,16 +117,7 @@
   }
 
   CallRequest request(const std::string &Path, const std::string &Key = "k2") {
-    CallRequest R;
-    R.Kind_ = CallKind::Routed;
-    R.Host_ = "shop.example";
-    R.Method_ = "POST";
-    R.Path_ = Path;
-    R.ApiKey_ = Key;
-    R.RequestId_ = "r" + std::to_string(NextCall_);
-    R.TimeLimit_ = 15000;
-    R.MaxTokens_ = 0;
-    return R;
+    return sampleRequest(Path, Key, "r" + std::to_string(NextCall_));
   }
 
   Effects send(CallRequest R) {
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -1,5 +1,7 @@
 #include "platformgroup.h"
 
+#include "samples.h"
+
 namespace endivewharf {
 
 namespace {
@@ -87,6 +89,14 @@
   later(MessageTime, To, [Envelope] { return PeerReceived{Envelope}; });
 }
 
+void PlatformGroup::waitFor(int I, std::function<void()> Again) {
+  const std::uint64_t Life = Processes_[I].Life_;
+  Pending_.emplace(Now_ + Step, [this, I, Life, Again = std::move(Again)] {
+    if (Processes_[I].Up_ && Processes_[I].Life_ == Life)
+      Again();
+  });
+}
+
 void PlatformGroup::readOwn(int I, const ReadLog &E, Millis Until) {
   if (!reachesStore(I)) {
     later(CallLimit, I, [] { return LogReadFailed{}; });
@@ -94,11 +104,7 @@
   }
   const auto End = static_cast<LogOffset>(Log_.size());
   if (E.From_ >= End && Now_ < Until) {
-    const std::uint64_t Life = Processes_[I].Life_;
-    Pending_.emplace(Now_ + Step, [this, I, E, Until, Life] {
-      if (Processes_[I].Up_ && Processes_[I].Life_ == Life)
-        readOwn(I, E, Until);
-    });
+    waitFor(I, [this, I, E, Until] { readOwn(I, E, Until); });
     return;
   }
   LogRead Page{0, End, true, {}};
@@ -114,11 +120,7 @@
   }
   const auto End = static_cast<LogOffset>(Operators_.size());
   if (E.From_ >= End && Now_ < Until) {
-    const std::uint64_t Life = Processes_[I].Life_;
-    Pending_.emplace(Now_ + Step, [this, I, E, Until, Life] {
-      if (Processes_[I].Up_ && Processes_[I].Life_ == Life)
-        readOperators(I, E, Until);
-    });
+    waitFor(I, [this, I, E, Until] { readOperators(I, E, Until); });
     return;
   }
   OperatorRead Page{End, {}};
@@ -222,16 +224,8 @@
                         std::int64_t PromptTokens) {
   if (!Processes_[I].Up_ || Now_ < Processes_[I].FrozenUntil_)
     return false;
-  CallRequest R;
-  R.Kind_ = CallKind::Routed;
-  R.Host_ = "shop.example";
-  R.Method_ = "POST";
-  R.Path_ = Path;
-  R.ApiKey_ = Key;
-  R.RequestId_ = "r" + std::to_string(NextCall_);
-  R.TimeLimit_ = 15000;
+  CallRequest R = sampleRequest(Path, Key, "r" + std::to_string(NextCall_));
   R.PromptTokens_ = PromptTokens;
-  R.MaxTokens_ = 0;
   bool Started = false;
   const Event Arrival{Now_, Unix + Now_, draw(),
                       RequestArrived{NextCall_++, R}};
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -71,6 +71,8 @@
   void carryOut(int I, const Effect &E);
   void sendTo(int I, const std::string &Peer, const PeerMessage &Message);
   void later(Millis Delay, int I, std::function<EventBody()> Body);
+  /// Calls back after a step, if the process still lives then.
+  void waitFor(int I, std::function<void()> Again);
   void readOwn(int I, const ReadLog &E, Millis Until);
   void readOperators(int I, const ReadOperator &E, Millis Until);
   void append(int I, const AppendToLog &E);
