--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -22,6 +22,7 @@
 
 constexpr Millis LogWait = 1500;    // ms for records to come
 constexpr Millis RarePeriod = 5000; // ms between reads of a bystander
+constexpr Millis ReadPeriod = 400;  // ms between reads that find records
 constexpr Millis LargeGroupRarePeriod = 60000; // ms; peers tell the rest
 constexpr Millis LogRetryPeriod = 250;         // ms after a failure
 constexpr Millis SnapshotPeriod = 30000;       // ms
@@ -198,11 +199,15 @@
 }
 
 /// On the platform each record wakes every reader: those that don't follow the
-/// store read our own records now and then, shares come from peers.
+/// store read our own records now and then, shares come from peers; and what
+/// comes in quick succession, as when all processes join, is read together.
 bool isLogReadDue(const State &S) {
-  return !S.Settings_.onPlatform() || !S.Log_.SawTail_ || followsStore(S) ||
-         S.Now_ - S.Log_.ReadStartedAt_ >=
-             (isLargeGroup(S) ? LargeGroupRarePeriod : RarePeriod);
+  if (!S.Settings_.onPlatform() || !S.Log_.SawTail_)
+    return true;
+  const Millis Passed = S.Now_ - S.Log_.ReadStartedAt_;
+  if (followsStore(S))
+    return Passed >= ReadPeriod;
+  return Passed >= (isLargeGroup(S) ? LargeGroupRarePeriod : RarePeriod);
 }
 
 void noteRetention(State &S, LogOffset Earliest) {
--- a/tests/group_test.cpp
+++ b/tests/group_test.cpp
@@ -22,7 +22,7 @@
 constexpr Millis StartTime = 14000;  // ms until traffic begins
 constexpr Millis QuotaWindow = 8000; // ms
 constexpr double QuotaOver = 0.1;    // of what a window may have
-constexpr double QuotaSlack = 14000; // tokens; a tenth of a site's
+constexpr double QuotaSlack = 500;   // tokens, about 1% of a window
 constexpr Millis UsageTime = 13000;  // ms after a window, for its report
 
 const std::string Config = R"([account buyers]
@@ -203,6 +203,12 @@
   EXPECT_GE(Total_, 0.85 * Rate * 30);
 }
 
+TEST_F(GroupTest, quota_askedForEightTimesOverAtOnce_isUsedAndKept) {
+  pressFor(30000, 8);
+  EXPECT_LE(Worst_, bound());
+  EXPECT_GE(Total_, 0.85 * Rate * 30);
+}
+
 TEST_F(GroupTest, quota_messagesLost_isKept) {
   Group_->Loss_ = 0.05;
   pressFor(30000, 3);
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -7,6 +7,7 @@
 namespace {
 
 constexpr std::int64_t Unix = 1'700'000'000'000;
+constexpr double QuotaSlack = 500; // tokens
 constexpr Millis StoreTime = 50;   // ms of a call to the store
 constexpr Millis CallLimit = 1500; // ms until a call to a cut store has failed
 
@@ -38,6 +39,7 @@
   Given.StoreUrl_ = "http://10.9.9.9:1";
   Given.CloudUrl_ = "http://10.9.9.8:1";
   Given.Limits_.DrainLimit_ = 8000;
+  Given.Bounds_.QuotaSlack_ = QuotaSlack;
   P.State_ = makeState(Given, P.Life_);
   P.Up_ = true;
   ByAddress_["10.0.0." + std::to_string(I) + ":7000"] = I;
--- a/tests/sums_test.cpp
+++ b/tests/sums_test.cpp
@@ -140,6 +140,22 @@
   EXPECT_FALSE(S_.Upstreams_[0].Listed_);
 }
 
+TEST_F(SumsTest, ownLog_recordsInQuickSuccession_areReadTogether) {
+  const std::int64_t Before = S_.Counters_.Values_["own_log_reads"];
+  for (int I = 0; I < 40; ++I) {
+    after(50);
+    if (!S_.Log_.Reading_)
+      continue;
+    LogRead Page{0, 0, true, {}};
+    Page.Entries_.push_back({NextOffset_++, WorkRecord{}});
+    Page.Next_ = NextOffset_;
+    feed(Page);
+  }
+  const std::int64_t Reads = S_.Counters_.Values_["own_log_reads"] - Before;
+  EXPECT_GE(Reads, 3);
+  EXPECT_LE(Reads, 6);
+}
+
 TEST_F(SumsTest, store_unreachable_bystanderAsksSeldom) {
   becomeBystander();
   int Reads = 0;
