--- a/src/collectors.cpp
+++ b/src/collectors.cpp
@@ -14,14 +14,15 @@
 
 namespace {
 
-constexpr std::size_t LargeGroup = 8;       // processes
-constexpr std::size_t MembersPerGroup = 12; // so that groups and collectors
-                                            // are about equally many at 150
-constexpr Millis HeardTime = 1000;          // ms; older sums say nothing
-constexpr Millis CollectorSilence = 1500;   // ms without sums of all
-constexpr Millis SuspicionTime = 5000;      // ms
-constexpr std::uint64_t RankSeed = 5;       // of the hash that ranks
-constexpr std::uint64_t ChoiceSeed = 6;     // of the hash that spreads members
+constexpr std::size_t LargeGroup = 8;        // processes
+constexpr std::size_t MembersPerGroup = 12;  // so that groups and collectors
+                                             // are about equally many at 150
+constexpr Millis HeardTime = 2000;           // ms; older sums say nothing
+constexpr Millis LargeGroupHeardTime = 1000; // ms, four messages
+constexpr Millis CollectorSilence = 1500;    // ms without sums of all
+constexpr Millis SuspicionTime = 5000;       // ms
+constexpr std::uint64_t RankSeed = 5;        // of the hash that ranks
+constexpr std::uint64_t ChoiceSeed = 6;      // of the hash that spreads members
 
 std::uint64_t rankOf(std::string_view Name, std::uint64_t Seed) {
   return XXH3_64bits_withSeed(Name.data(), Name.size(), Seed);
@@ -97,7 +98,8 @@
 }
 
 bool isHeard(const State &S, const Member &M) {
-  return M.SumsAt_ >= 0 && S.Now_ - M.SumsAt_ <= HeardTime;
+  const Millis Limit = isLargeGroup(S) ? LargeGroupHeardTime : HeardTime;
+  return M.SumsAt_ >= 0 && S.Now_ - M.SumsAt_ <= Limit;
 }
 
 void updateCollector(State &S, Effects &Out) {
@@ -140,7 +142,7 @@
       for (std::string &Name : rankedCollectors(S, DataCentre))
         Names.insert(std::move(Name));
   for (const auto &[Name, ToldAt] : S.Membership_.Collectors_)
-    if (Large && S.Now_ - ToldAt <= HeardTime &&
+    if (Large && S.Now_ - ToldAt <= LargeGroupHeardTime &&
         S.Membership_.Members_.count(Name) > 0)
       Names.insert(Name);
   Names.erase(S.Self_.Name_);
@@ -159,7 +161,7 @@
   for (const std::string &Name : Names)
     S.Membership_.Collectors_[Name] = S.Now_;
   std::erase_if(S.Membership_.Collectors_, [&](const auto &Entry) {
-    return S.Now_ - Entry.second > HeardTime;
+    return S.Now_ - Entry.second > LargeGroupHeardTime;
   });
 }
 
