Quotas: log the state of an account that was refused units

The logs could not tell the hypotheses apart: a refusal names what one copy of the bucket has left, but not what each process has admitted and has deducted for the others. quota_state says both, at most four times a second for an account that was refused units or is in debt, so the admissions of all processes can be added up over time. No decision changes.

--- a/src/core.cpp
+++ b/src/core.cpp
@@ -83,7 +83,7 @@
   if (S.Settings_.servesPlatform()) {
     tickServiceRollouts(S, Out);
     tickSummaries(S, Out);
-    tickQuotas(S);
+    tickQuotas(S, Out);
     tickUsage(S, Out);
     tickFleet(S, Out);
     tickStalledStreams(S, Out);
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -5,6 +5,7 @@
 #include "quota.h"
 
 #include "aggregators.h"
+#include "diagnostics.h"
 #include "membership.h"
 
 #include <algorithm>
@@ -144,6 +145,7 @@
     C.ChargedUnits_ = Units;
     return std::nullopt;
   }
+  Q.RefusedSinceUpdate_ += Units;
   const double Rate = A.RatePerSecond_ * Q.UsableFraction_;
   const Millis RetryAfter = std::clamp(
       static_cast<Millis>((RequiredUnits - Q.AvailableUnits_) * 1000 / Rate),
@@ -186,7 +188,30 @@
   }
 }
 
-void tickQuotas(State &S) {
+namespace {
+
+/// Logs the inputs of the decisions on an account since the last update, if
+/// units were refused or the bucket is in debt. The totals let the admissions
+/// of all processes be added up over time and be compared with what each has
+/// deducted for the others.
+void logQuotaState(const std::string &Account, const QuotaState &Q,
+                   Effects &Out) {
+  if (Q.RefusedSinceUpdate_ <= 0 && Q.AvailableUnits_ >= 0)
+    return;
+  const auto Text = [](double Units) { return fmt::format("{:.0f}", Units); };
+  logEvent(Out, "quota_state",
+           {{"account", Account},
+            {"left", Text(Q.AvailableUnits_)},
+            {"admitted", Text(Q.Admitted_)},
+            {"others_admitted", Text(Q.OthersAdmitted_)},
+            {"asked", Text(Q.DemandSinceUpdate_)},
+            {"refused", Text(Q.RefusedSinceUpdate_)},
+            {"fraction", fmt::format("{:.2f}", Q.UsableFraction_)}});
+}
+
+} // namespace
+
+void tickQuotas(State &S, Effects &Out) {
   const Millis Elapsed = S.Now_ - S.Quotas_.UpdatedAt_;
   if (Elapsed < DemandUpdatePeriod)
     return;
@@ -194,6 +219,8 @@
   const double Weight =
       std::min(1.0, static_cast<double>(Elapsed) / DemandAveragingTime);
   for (auto &[Name, Q] : S.Quotas_.Accounts_) {
+    logQuotaState(Name, Q, Out);
+    Q.RefusedSinceUpdate_ = 0;
     const double PerSecond =
         Q.DemandSinceUpdate_ * 1000 / static_cast<double>(Elapsed);
     Q.DemandPerSecond_ += Weight * (PerSecond - Q.DemandPerSecond_);
--- a/src/quota.h
+++ b/src/quota.h
@@ -30,7 +30,8 @@
                          std::uint64_t Incarnation);
 
 /// Updates the average demand of each account and the fraction of its quota
-/// that this process may use.
-void tickQuotas(State &S);
+/// that this process may use. Logs the state of accounts that were refused
+/// units.
+void tickQuotas(State &S, Effects &Out);
 
 } // namespace endivewharf
--- a/src/state.h
+++ b/src/state.h
@@ -377,9 +377,10 @@
   double Admitted_ = 0;       ///< Units admitted by this incarnation.
   /// Units admitted by the processes that report to this one.
   double GroupAdmitted_ = 0;
-  double OthersAdmitted_ = 0;    ///< Units admitted by all other processes.
-  double DemandPerSecond_ = 0;   ///< Moving average of units requested here.
-  double DemandSinceUpdate_ = 0; ///< Units requested since the last averaging.
+  double OthersAdmitted_ = 0;     ///< Units admitted by all other processes.
+  double DemandPerSecond_ = 0;    ///< Moving average of units requested here.
+  double DemandSinceUpdate_ = 0;  ///< Units requested since the last averaging.
+  double RefusedSinceUpdate_ = 0; ///< Units refused since the last averaging.
   /// Fraction of the account's rate and burst that this process may use.
   double UsableFraction_ = 1;
 };
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -169,7 +169,8 @@
       double Admitted = 0;
       for (int I = 0; I < ProcessCount; ++I) {
         Processes_[I].Now_ = Now_;
-        tickQuotas(Processes_[I]);
+        Effects Out;
+        tickQuotas(Processes_[I], Out);
         PendingTokens_[I] +=
             Fractions[I] * Multiple * RateTokensPerSecond * StepDuration / 1000;
         Admitted += sendPrompts(I);
