--- a/tests/group_test.cpp
+++ b/tests/group_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <memory>
 #include <numeric>
+#include <utility>
 
 namespace endivewharf {
 
@@ -70,12 +71,12 @@
   void sendTraffic(double Multiple) {
     ShareCredit_ += RateTokensPerSecond * Multiple *
                     PlatformGroup::StepDuration / 1000 / TokensPerPrompt;
-    double Admitted = 0;
     for (; ShareCredit_ >= 1; ShareCredit_ -= 1)
-      if (Group_->sendRequest(
-              static_cast<int>(NextRequestNumber_++ * 7919 % ProcessCount),
-              "/check/1", "k1", TokensPerPrompt))
-        Admitted += TokensPerPrompt;
+      Group_->sendRequest(
+          static_cast<int>(NextRequestNumber_++ * 7919 % ProcessCount),
+          "/check/1", "k1", TokensPerPrompt);
+    const double Admitted =
+        std::exchange(Group_->StartedTokens_["buyers"], 0.0);
     AdmittedPerStep_.push_back(Admitted);
     if (AdmittedPerStep_.size() > QuotaWindow / PlatformGroup::StepDuration)
       AdmittedPerStep_.pop_front();
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -8,7 +8,6 @@
 namespace {
 
 constexpr std::int64_t UnixMsAtZero = 1'700'000'000'000;
-constexpr double QuotaSlackTokens = 500; // tokens
 /// Duration of a call to the store, in ms.
 constexpr Millis StoreCallTime = 50;
 /// Time after which a call to an unreachable store fails, in ms.
@@ -42,7 +41,7 @@
   ProcessSettings.StoreUrl_ = "http://10.9.9.9:1";
   ProcessSettings.CloudUrl_ = "http://10.9.9.8:1";
   ProcessSettings.Limits_.DrainTimeout_ = 8000;
-  ProcessSettings.Bounds_.QuotaSlack_ = QuotaSlackTokens;
+  ProcessSettings.Bounds_.QuotaSlack_ = QuotaSlackTokens_;
   P.State_ = makeState(ProcessSettings, P.Incarnation_);
   P.Running_ = true;
   ProcessByAddress_["10.0.0." + std::to_string(I) + ":7000"] = I;
@@ -164,8 +163,23 @@
   });
 }
 
+void PlatformGroup::answerAttempt(int I, const StartAttempt &Start) {
+  const auto Waiting = WaitingTokens_.find(Start.RequestId_);
+  if (Waiting != WaitingTokens_.end()) {
+    StartedTokens_[Start.Account_] += Waiting->second;
+    WaitingTokens_.erase(Waiting);
+  }
+  scheduleEvent(StepDuration, I, [Id = Start.Attempt_] {
+    return ServiceAnswer{Id, 200, "", "ok", {}};
+  });
+}
+
 void PlatformGroup::executeEffect(int I, const Effect &E) {
-  if (const auto *Send = std::get_if<SendToPeer>(&E)) {
+  if (const auto *Start = std::get_if<StartAttempt>(&E)) {
+    answerAttempt(I, *Start);
+  } else if (const auto *Refusal = std::get_if<SendError>(&E)) {
+    WaitingTokens_.erase(Refusal->RequestId_);
+  } else if (const auto *Send = std::get_if<SendToPeer>(&E)) {
     sendMessage(I, Send->Peer_, Send->Message_);
   } else if (const auto *Broadcast = std::get_if<SendToPeers>(&E)) {
     for (const std::string &Peer : Broadcast->Peers_)
@@ -249,16 +263,12 @@
     return false;
   CallRequest R = sampleRequest(Path, Key, "r" + std::to_string(NextCallId_));
   R.PromptTokens_ = PromptTokens;
+  WaitingTokens_[R.RequestId_] = static_cast<double>(PromptTokens);
   bool Started = false;
   const Event Arrival{Now_, UnixMsAtZero + Now_, drawRandom(),
                       RequestArrived{NextCallId_++, R}};
   for (const Effect &E : reduce(Processes_[I].State_, Arrival)) {
-    if (const auto *Start = std::get_if<StartAttempt>(&E)) {
-      Started = true;
-      scheduleEvent(StepDuration, I, [Id = Start->Attempt_] {
-        return ServiceAnswer{Id, 200, "", "ok", {}};
-      });
-    }
+    Started = Started || std::holds_alternative<StartAttempt>(E);
     executeEffect(I, E);
   }
   return Started;
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -46,7 +46,8 @@
   /// Replaces the list of hosts in the store.
   void setHosts(std::vector<HostRow> Hosts);
 
-  /// Sends a request to a process; its service answers after one step.
+  /// Sends a request to a process; its service answers one step after it was
+  /// dispatched.
   /// @return true if it was dispatched at once
   bool sendRequest(int I, const std::string &Path, const std::string &Key,
                    std::int64_t PromptTokens);
@@ -65,6 +66,12 @@
   /// reach them.
   std::set<int> IsolatedProcesses_;
   double PeerMessageLossFraction_ = 0; ///< Fraction of messages that are lost.
+  /// Tokens by which all processes together may exceed a quota; taken over by
+  /// processes that start later.
+  double QuotaSlackTokens_ = 500;
+  /// Prompt tokens of the requests that were dispatched for the first time, by
+  /// account.
+  std::map<std::string, double> StartedTokens_;
   Millis Now_ = 100000;
   std::int64_t MessageCount_ = 0;   ///< Messages sent, including lost ones.
   std::int64_t StoreCallCount_ = 0; ///< Calls to the store.
@@ -102,7 +109,12 @@
   bool canReach(int From, int To) const;
 
   std::vector<Process> Processes_;
+  /// Records that a request was dispatched and lets its service answer.
+  void answerAttempt(int I, const StartAttempt &Start);
+
   std::map<std::string, int> ProcessByAddress_;
+  /// Prompt tokens of the requests that were not dispatched yet, by request ID.
+  std::map<std::string, double> WaitingTokens_;
   std::multimap<Millis, std::function<void()>> ScheduledTasks_;
   std::vector<LogRecord> ControlLog_;
   std::vector<std::string> OperatorLog_;
