--- a/src/aggregators.cpp
+++ b/src/aggregators.cpp
@@ -82,7 +82,6 @@
   for (auto &[Name, Peer] : S.Membership_.Peers_) {
     Peer.Summary_ = {};
     Peer.SummaryReceivedAt_ = -1;
-    Peer.SummaryIncarnation_ = 0;
   }
   logEvent(Out, "collector_chosen", {{"collector", To.empty() ? "self" : To}});
 }
--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -7,6 +7,7 @@
 #include "diagnostics.h"
 #include "dispatch.h"
 #include "quota.h"
+#include "quotaexchange.h"
 #include "resume.h"
 #include "routed.h"
 #include "router.h"
@@ -158,6 +159,10 @@
   if (NewCall.ServiceQueue_.empty())
     S.CallByRequestId_[NewCall.RequestId_] = E.Call_;
   Call &C = S.Calls_.emplace(E.Call_, std::move(NewCall)).first->second;
+  if (C.Phase_ == CallPhase::AwaitingQuota) {
+    requestCallUnits(S, C);
+    return;
+  }
   if (C.Request_.Kind_ == CallKind::Service && isUnrepeatableCall(S, C) &&
       !C.Request_.IdempotencyKey_.empty()) {
     C.Fingerprint_ = requestFingerprint(C.Request_);
--- a/src/claims.cpp
+++ b/src/claims.cpp
@@ -89,7 +89,7 @@
   }
   Call &C = S.Calls_.at(Waiting->second);
   S.Claims_.CallByClaimId_.erase(Waiting);
-  enqueueClaimedCall(S, C, Out);
+  enqueueAcceptedCall(S, C, Out);
 }
 
 } // namespace
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -100,6 +100,7 @@
   F("sequence", R.Sequence_);
   F("acknowledged", R.Acknowledged_);
   F("unix_ms", R.UnixMs_);
+  F("cluster_size", R.ClusterSize_);
 }
 template <SameIgnoringConst<LoadRow> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -107,13 +108,35 @@
   F("in_flight", R.InFlight_);
   F("prefill_ms", R.PrefillMs_);
 }
-template <SameIgnoringConst<DemandRow> T, typename V>
+template <SameIgnoringConst<QuotaRequestRow> T, typename V>
 void visitFields(T &R, V &&F) {
   F("account", R.Account_);
-  F("per_second", R.PerSecond_);
-  F("admitted", R.Admitted_);
-  F("silent", R.StalePerSecond_);
+  F("units", R.Units_);
+  F("call", R.Call_);
+  F("origin", R.OriginHash_);
+  F("hops", R.Hops_);
 }
+template <SameIgnoringConst<QuotaGrantRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("account", R.Account_);
+  F("units", R.Units_);
+  F("call", R.Call_);
+  F("origin", R.OriginHash_);
+  F("retry_after_ms", R.RetryAfter_);
+}
+template <SameIgnoringConst<QuotaDepositRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("account", R.Account_);
+  F("units", R.Units_);
+}
+template <SameIgnoringConst<QuotaMessage> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("deposits", R.Deposits_);
+  F("requests", R.Requests_);
+  F("grants", R.Grants_);
+}
+template <SameIgnoringConst<ReservedField> T, typename V>
+void visitFields(T &, V &&) {}
 template <SameIgnoringConst<StoreReaderRow> T, typename V>
 void visitFields(T &R, V &&F) {
   F("name", R.Name_);
@@ -159,7 +182,7 @@
 template <SameIgnoringConst<SummaryMessage> T, typename V>
 void visitFields(T &R, V &&F) {
   F("loads", R.Loads_);
-  F("demands", R.Demands_);
+  F("reserved", R.Reserved_);
   F("usage", R.Usage_);
   F("work", R.Work_);
   F("moves", R.Rollouts_);
@@ -453,7 +476,8 @@
 constexpr std::array MessageNames = {
     "digest",   "facts",        "control",       "control_request",
     "handover", "handover_ack", "find_call",     "found_call",
-    "sums",     "usage",        "hosts_request", "hosts"};
+    "sums",     "usage",        "hosts_request", "hosts",
+    "quota"};
 constexpr std::array RecordNames = {
     "config",  "note",  "lease_acquire", "lease_renew", "share",
     "verdict", "claim", "claim_release", "claim_done",  "snapshot",
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -16,6 +16,7 @@
 #include "operatorlog.h"
 #include "outcomes.h"
 #include "quota.h"
+#include "quotaexchange.h"
 #include "release.h"
 #include "resume.h"
 #include "rollout.h"
@@ -84,6 +85,7 @@
     tickServiceRollouts(S, Out);
     tickSummaries(S, Out);
     tickQuotas(S, Out);
+    tickQuotaExchange(S, Out);
     tickUsage(S, Out);
     tickFleet(S, Out);
     tickStalledStreams(S, Out);
@@ -181,6 +183,7 @@
   std::visit(EventVisitor{S, Out}, E.Body_);
   startLogRequests(S, Out);
   startOperatorLogRead(S, Out);
+  flushQuotaMessages(S, Out);
   S.Ready_ = S.Stage_ == Stage::Serving;
   return Out;
 }
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -305,7 +305,7 @@
     dispatchServiceQueue(S, Name, Out);
 }
 
-void enqueueClaimedCall(State &S, Call &C, Effects &Out) {
+void enqueueAcceptedCall(State &S, Call &C, Effects &Out) {
   C.Phase_ = CallPhase::Queued;
   enqueueCall(S, C, false);
   dispatchQueuedCalls(S, Out);
--- a/src/dispatch.h
+++ b/src/dispatch.h
@@ -12,8 +12,9 @@
 /// service queue up to a fixed number of calls.
 void dispatchQueuedCalls(State &S, Effects &Out);
 
-/// Queues a call whose claim has been granted, then dispatches queued calls.
-void enqueueClaimedCall(State &S, Call &C, Effects &Out);
+/// Queues a call whose claim or quota has been granted, then dispatches queued
+/// calls.
+void enqueueAcceptedCall(State &S, Call &C, Effects &Out);
 
 /// Finds streams whose upstream has sent no event within the time limit and
 /// that may continue at another upstream. A stalled stream that may not
--- a/src/dump.cpp
+++ b/src/dump.cpp
@@ -19,8 +19,9 @@
 }
 
 std::string_view name(CallPhase Value) {
-  constexpr std::array Names = {"queued",       "claiming", "running",
-                                "awaiting_key", "finding",  "moving_out"};
+  constexpr std::array Names = {"queued",        "claiming", "running",
+                                "awaiting_key",  "finding",  "moving_out",
+                                "awaiting_quota"};
   return Names[static_cast<std::size_t>(Value)];
 }
 
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -8,6 +8,7 @@
 #include "diagnostics.h"
 #include "evidence.h"
 #include "handover.h"
+#include "quotaexchange.h"
 #include "release.h"
 #include "storereaders.h"
 #include "summaries.h"
@@ -46,6 +47,8 @@
 // Heartbeats of processes in other data centres per digest.
 constexpr std::size_t MaxRemoteHeartbeats = 40;
 constexpr std::size_t MaxExtraPeerRows = 2; // rows of other peers per digest
+// Bound on the number of processes that a peer's digest may state.
+constexpr std::int64_t MaxStatedClusterSize = 10000;
 
 std::vector<std::string> peerNames(const State &S, bool OnlyAlive) {
   std::vector<std::string> Names;
@@ -150,6 +153,8 @@
   Digest.ControlVersion_ = S.Control_.Version_;
   Digest.FactsHash_ = factsHash(S);
   Digest.UnixMs_ = S.Settings_.servesPlatform() ? correctedUnixMs(S) : 0;
+  Digest.ClusterSize_ =
+      static_cast<std::int64_t>(S.Membership_.Peers_.size() + 1);
   Digest.Sequence_ = ++To.DigestSequenceSent_;
   Digest.Acknowledged_ = To.DigestSequenceReceived_;
   return Digest;
@@ -300,6 +305,10 @@
       return;
     if (Digest.UnixMs_ != 0)
       recordPeerClock(S_, SenderName_, Digest.UnixMs_);
+    S_.Membership_.PeakClusterSize_ =
+        std::max(S_.Membership_.PeakClusterSize_,
+                 static_cast<std::size_t>(std::clamp<std::int64_t>(
+                     Digest.ClusterSize_, 0, MaxStatedClusterSize)));
     Found->second.DigestSequenceReceived_ = Digest.Sequence_;
     Found->second.DigestSequenceAcknowledged_ = Digest.Acknowledged_;
     const bool NewerConfig =
@@ -347,6 +356,9 @@
   void operator()(const UsageMessage &Message) const {
     onPeerUsage(S_, Sender_, Message.Rows_);
   }
+  void operator()(const QuotaMessage &Message) const {
+    onQuotaMessage(S_, Sender_, Message, Out_);
+  }
   void operator()(const HostsRequestMessage &) const {
     if (S_.HostsVersion_ != 0)
       Out_.push_back(SendToPeer{SenderName_, hostsMessage(S_)});
@@ -416,6 +428,9 @@
 void applyJoin(State &S, const JoinRecord &R, Effects &Out) {
   updatePeerAddress(S, R.Row_, Out);
   const InstanceId &Joined = R.Row_.Instance_;
+  if (Joined.Name_ == S.Self_.Name_ &&
+      Joined.Incarnation_ < S.Self_.Incarnation_)
+    S.Membership_.KnownFromBefore_ = true;
   const auto Found = S.Membership_.Peers_.find(Joined.Name_);
   if (Found == S.Membership_.Peers_.end() ||
       Joined.Incarnation_ <= Found->second.Row_.Instance_.Incarnation_)
--- a/src/messages.h
+++ b/src/messages.h
@@ -135,6 +135,8 @@
   std::uint64_t Acknowledged_ = 0;
   /// Sender's corrected Unix time in ms; 0: not sent.
   std::int64_t UnixMs_ = 0;
+  /// Processes that the sender knows, including itself.
+  std::int64_t ClusterSize_ = 1;
 };
 
 /// Load at one upstream.
@@ -145,15 +147,44 @@
   int PrefillMs_ = 0;
 };
 
-/// Demand of one account at the processes that a summary covers.
-struct DemandRow {
+/// Asks for units of an account's quota.
+struct QuotaRequestRow {
   std::string Account_;
-  double PerSecond_ = 0; ///< Units requested per second.
-  double Admitted_ = 0;  ///< Units admitted so far, as the sender knows.
-  /// Units requested per second at processes whose summaries are stale.
-  double StalePerSecond_ = 0;
+  double Units_ = 0;
+  /// Call of the origin that needs all of the units at once; 0: the origin has
+  /// used the units in advance and takes any part of them.
+  CallId Call_ = 0;
+  std::uint32_t OriginHash_ = 0; ///< Instance that needs the units.
+  std::int64_t Hops_ = 0;        ///< Processes that have passed the row on.
 };
 
+/// Answers a `QuotaRequestRow`.
+struct QuotaGrantRow {
+  std::string Account_;
+  double Units_ = 0; ///< Units that the origin may use; 0: refused.
+  CallId Call_ = 0;
+  std::uint32_t OriginHash_ = 0;
+  Millis RetryAfter_ = 0; ///< Advice for the caller of a refused request.
+};
+
+/// Units that the sender has deducted from its own for the receiver.
+struct QuotaDepositRow {
+  std::string Account_;
+  double Units_ = 0;
+};
+
+/// Moves units of quotas between processes. A lost message loses its units,
+/// and none are counted twice.
+struct QuotaMessage {
+  std::vector<QuotaDepositRow> Deposits_;
+  std::vector<QuotaRequestRow> Requests_;
+  std::vector<QuotaGrantRow> Grants_;
+};
+
+/// Stands where a field was that is no longer used, so that the fields after it
+/// keep their positions in the message.
+struct ReservedField {};
+
 /// Requests of an account that began to run in one usage window.
 struct UsageRow {
   std::int64_t Window_ = 0;
@@ -198,7 +229,7 @@
 /// of its sender.
 struct SummaryMessage {
   std::vector<LoadRow> Loads_;
-  std::vector<DemandRow> Demands_;
+  ReservedField Reserved_;
   std::vector<UsageRow> Usage_;
   std::vector<WorkRow> Work_;
   std::vector<RolloutRow> Rollouts_; ///< Rollouts of services.
@@ -301,7 +332,7 @@
     std::variant<DigestMessage, FactsMessage, ControlMessage,
                  ControlRequestMessage, HandoverMessage, HandoverAckMessage,
                  FindCallMessage, FoundCallMessage, SummaryMessage,
-                 UsageMessage, HostsRequestMessage, HostsMessage>;
+                 UsageMessage, HostsRequestMessage, HostsMessage, QuotaMessage>;
 
 /// A message with its sender.
 struct PeerEnvelope {
--- a/src/peerstate.h
+++ b/src/peerstate.h
@@ -26,10 +26,6 @@
   /// Its last summary, without this process's own report.
   SummaryMessage Summary_;
   Millis SummaryReceivedAt_ = -1;
-  /// Incarnation that sent `Summary_`; 0: none.
-  std::uint64_t SummaryIncarnation_ = 0;
-  /// The last summary, as received, included this process's own report.
-  bool SummaryIncludedSelf_ = false;
   Millis UsageReceivedAt_ = -1; ///< When it last sent its usage counts.
   /// Not eligible as aggregator until then, because its summaries stopped.
   Millis SuspectUntil_ = 0;
@@ -44,8 +40,12 @@
 /// All peers and this process's role among them.
 struct MembershipState {
   std::map<std::string, PeerState> Peers_; ///< By name.
-  /// Largest number of processes alive at once, including this one.
+  /// Largest number of processes alive at once or named by a peer, including
+  /// this one.
   std::size_t PeakClusterSize_ = 1;
+  /// The control log names an earlier incarnation of this process, so the other
+  /// processes already count it.
+  bool KnownFromBefore_ = false;
   Millis SeedsContactedAt_ = 0;
   bool JoinQueued_ = false; ///< The join record of this incarnation is queued.
   std::unordered_map<std::uint32_t, std::string> NameByInstanceHash_;
--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -1,35 +1,33 @@
-// Quotas as token buckets. Every process keeps a copy of each account's whole
-// bucket and deducts from it the units that all processes have admitted, which
-// they publish in summaries a few times a second. A copy may go into debt,
-// which is refilled before more units are admitted.
+// Quotas as token buckets whose rate is divided among all processes. A process
+// may use a small part of the units that the operators' bound leaves beyond the
+// quota in advance, so that most requests need no answer of a peer first.
 #include "quota.h"
 
-#include "aggregators.h"
 #include "diagnostics.h"
 #include "membership.h"
+#include "quotaexchange.h"
 
 #include <algorithm>
+#include <cmath>
 #include <fmt/format.h>
 
 namespace endivewharf {
 
 namespace {
 
-constexpr Millis DemandUpdatePeriod = 250;   // ms between two averages
-constexpr double DemandAveragingTime = 2000; // ms
-constexpr Millis MaxSummaryAge = 1500;       // ms; older summaries are stale
-// Shorter in a large cluster: more processes may be partitioned from the others
-// together, and until they detect it they admit too many units. It covers three
-// summaries.
-constexpr Millis LargeClusterMaxSummaryAge = 800; // ms
-// Fraction of the settings' quota slack up to which a bucket may go into debt.
-constexpr double MaxDebtFraction = 0.3;
-// Fill of a bucket in a process that has just started, as a fraction of its
-// capacity.
-constexpr double StartFillFraction = 0.3;
-// Bound on the first fills of all processes together, for the case that all
-// start at once.
-constexpr double MaxTotalStartFill = 1;     // buckets
+constexpr Millis UpdatePeriod = 250;         // ms between two averages
+constexpr double InflowAveragingTime = 1000; // ms
+constexpr double LargestUnitsDecay = 0.95;   // factor per update
+// Longest time between two refills of a process that runs; after a longer one
+// it was frozen, and others may have collected units in its place.
+constexpr Millis MaxRefillGap = 1000; // ms
+// Time after which all processes count a new one. Until then it has no part of
+// the rates of its own.
+constexpr Millis NewProcessPeriod = 5000; // ms
+// Parts of the bound's excess over a quota that may be used in advance: by all
+// processes together, and where an account's units are collected.
+constexpr double SharedAdvanceFraction = 0.3;
+constexpr double CollectorAdvanceFraction = 0.15;
 constexpr Millis MaxQuotaRetryAfter = 5000; // ms
 constexpr Millis MinQuotaRetryAfter = 100;  // ms
 
@@ -44,118 +42,167 @@
   return static_cast<double>(C.Request_.PromptTokens_ + C.Request_.MaxTokens_);
 }
 
-/// Fraction of a quota if all processes have the same.
-double equalFraction(const State &S) {
-  return 1.0 / static_cast<double>(estimatedClusterSize(S));
-}
-
-/// @return the peer's row for an account, or null if its summary has none
-const DemandRow *findDemandRow(const PeerState &Peer,
-                               const std::string &Account) {
-  for (const DemandRow &Row : Peer.Summary_.Demands_)
-    if (Row.Account_ == Account)
-      return &Row;
-  return nullptr;
-}
-
-/// Fraction of an account's rate and burst that this process may use. It is 1
-/// while recent summaries account for all processes. Otherwise it is reduced,
-/// down to an equal fraction, by what the processes with stale summaries may be
-/// admitting, by their number or their last demand, whichever is more.
-double usableFraction(const State &S, const std::string &Account,
-                      const QuotaState &Q) {
-  double TotalDemand = Q.DemandPerSecond_;
-  double StaleDemand = 0;
-  std::size_t RecentProcesses = 1;
-  const Millis MaxAge =
-      isLargeCluster(S) ? LargeClusterMaxSummaryAge : MaxSummaryAge;
-  for (const PeerState *Peer : summarySources(S)) {
-    const DemandRow *Row = findDemandRow(*Peer, Account);
-    const double Demand = Row == nullptr ? 0 : Row->PerSecond_;
-    const double StaleAtPeer = Row == nullptr ? 0 : Row->StalePerSecond_;
-    TotalDemand += Demand + StaleAtPeer;
-    StaleDemand += StaleAtPeer;
-    if (Peer->SummaryReceivedAt_ >= 0 &&
-        S.Now_ - Peer->SummaryReceivedAt_ < MaxAge)
-      RecentProcesses += static_cast<std::size_t>(Peer->Summary_.ProcessCount_);
-    else
-      StaleDemand += Demand;
-  }
-  if (RecentProcesses >= estimatedClusterSize(S))
-    return 1;
-  const double Equal = equalFraction(S);
-  const double ByDemand = TotalDemand > 0 ? 1 - StaleDemand / TotalDemand : 1;
-  const double ByCount =
-      std::min(1.0, Equal * static_cast<double>(RecentProcesses));
-  return std::max(Equal, std::min(ByDemand, ByCount));
-}
-
-/// Refills an account's bucket up to now, by the usable fraction of its rate.
-void refillQuotaBucket(const State &S, QuotaState &Q, const Account &A) {
-  const double Capacity =
-      std::max(A.Burst_, A.RatePerSecond_) * Q.UsableFraction_;
-  const double Elapsed = static_cast<double>(S.Now_ - Q.RefilledAt_) / 1000;
-  Q.AvailableUnits_ =
-      std::min(Capacity, Q.AvailableUnits_ +
-                             Elapsed * A.RatePerSecond_ * Q.UsableFraction_);
-  Q.RefilledAt_ = S.Now_;
+/// This process's part of every account's rate. The parts of all processes add
+/// up to at most 1 while each divides by at least their number.
+double ownPart(const State &S) {
+  const std::size_t ClusterSize = estimatedClusterSize(S);
+  const bool Counted = ClusterSize == 1 || S.Membership_.KnownFromBefore_ ||
+                       S.Now_ - S.StartedAt_ >= NewProcessPeriod;
+  return Counted ? 1.0 / static_cast<double>(ClusterSize) : 0;
+}
+
+double fullCapacity(const Account &A) {
+  return std::max(A.Burst_, A.RatePerSecond_);
+}
+
+/// Part of an account's rate that arrives at this process.
+double inflowFraction(const State &S, const QuotaState &Q, const Account &A) {
+  return std::clamp(Q.InflowPerSecond_ / A.RatePerSecond_, ownPart(S), 1.0);
+}
+
+/// Most units that may be kept here. Where a part of the rate arrives, that
+/// part of the bucket is kept, so the buckets on both sides of a partition add
+/// up to one.
+double capacity(const State &S, const QuotaState &Q, const Account &A) {
+  return fullCapacity(A) * inflowFraction(S, Q, A);
+}
+
+/// Units by which all processes together may exceed an account's quota within a
+/// window.
+double allowedExcess(const State &S, const Account &A) {
+  const BoundSettings &Bounds = S.Settings_.Bounds_;
+  const double WindowUnits =
+      A.RatePerSecond_ * static_cast<double>(Bounds.QuotaWindow_) / 1000 +
+      A.Burst_;
+  const double Slack = A.Unit_ == RateUnit::Tokens ? Bounds.QuotaSlack_ : 0;
+  return Bounds.QuotaExcess_ * WindowUnits + Slack;
+}
+
+/// Units that this process may use before it has them.
+double ownAdvance(const State &S, const Account &A) {
+  return SharedAdvanceFraction * allowedExcess(S, A) * ownPart(S);
+}
+
+/// Units that must be available for a request. Where that suffices, it is the
+/// same for requests of all sizes, so that small ones do not use up what large
+/// ones wait for.
+double requiredUnits(const QuotaState &Q, double Units, double Advance) {
+  return std::max(Units, std::min(Q.LargestUnits_, Advance));
+}
+
+bool admitsHere(const State &S, const QuotaState &Q, const Account &A,
+                double Units) {
+  const double Advance = ownAdvance(S, A);
+  return Q.AvailableUnits_ + Advance >= requiredUnits(Q, Units, Advance);
+}
+
+void admit(QuotaState &Q, Call &C) {
+  Q.AvailableUnits_ -= C.QuotaUnits_;
+  Q.Admitted_ += C.QuotaUnits_;
+  C.ChargedUnits_ = C.QuotaUnits_;
+}
+
+} // namespace
+
+const Account *limitedAccount(const State &S, const std::string &Name) {
+  const auto &Accounts = S.Config_.Configuration_.AccountsByName_;
+  const auto Found = Accounts.find(Name);
+  if (Found == Accounts.end() || Found->second.RatePerSecond_ <= 0)
+    return nullptr;
+  return &Found->second;
 }
 
-/// Finds an account's quota state, or creates it with a partly filled bucket,
-/// because it is not known how many units other processes have admitted before.
-QuotaState &findOrCreateQuota(State &S, const std::string &Account) {
-  const auto [Found, IsNew] = S.Quotas_.Accounts_.try_emplace(Account);
+QuotaState &refilledQuota(State &S, const Account &A) {
+  const auto [Found, IsNew] = S.Quotas_.Accounts_.try_emplace(A.Name_);
   QuotaState &Q = Found->second;
-  if (!IsNew)
-    return Q;
-  Q.UsableFraction_ = usableFraction(S, Account, Q);
+  const Millis Elapsed = IsNew ? 0 : S.Now_ - Q.RefilledAt_;
   Q.RefilledAt_ = S.Now_;
-  const auto Configured =
-      S.Config_.Configuration_.AccountsByName_.find(Account);
-  if (Configured != S.Config_.Configuration_.AccountsByName_.end())
-    Q.AvailableUnits_ =
-        std::max(Configured->second.Burst_, Configured->second.RatePerSecond_) *
-        Q.UsableFraction_ *
-        std::min(StartFillFraction, MaxTotalStartFill * equalFraction(S));
+  const double Part = ownPart(S);
+  addQuotaUnits(S, Q, A,
+                A.RatePerSecond_ * Part * static_cast<double>(Elapsed) / 1000);
+  if (Elapsed > MaxRefillGap)
+    Q.AvailableUnits_ = std::min(Q.AvailableUnits_, fullCapacity(A) * Part);
   return Q;
 }
 
-} // namespace
+void addQuotaUnits(State &S, QuotaState &Q, const Account &A, double Units) {
+  Q.InflowSinceUpdate_ += Units;
+  const double Room = std::max(0.0, capacity(S, Q, A) - Q.AvailableUnits_);
+  Q.AvailableUnits_ += std::min(Units, Room);
+}
+
+double takeQuotaUnits(State &S, QuotaState &Q, const Account &A, double Units,
+                      bool Divisible) {
+  double Granted = 0;
+  if (Divisible) {
+    Granted = std::clamp(Q.AvailableUnits_, 0.0, Units);
+  } else {
+    const double Advance = CollectorAdvanceFraction * allowedExcess(S, A) *
+                           inflowFraction(S, Q, A);
+    Q.LargestUnits_ = std::max(Q.LargestUnits_, Units);
+    if (Q.AvailableUnits_ + Advance >= requiredUnits(Q, Units, Advance))
+      Granted = Units;
+  }
+  Q.AvailableUnits_ -= Granted;
+  return Granted;
+}
+
+CallError quotaError(State &S, const Call &C, const Account &A,
+                     Millis RetryAfter) {
+  QuotaState &Q = refilledQuota(S, A);
+  Q.RefusedSinceUpdate_ += C.QuotaUnits_;
+  const double Rate = A.RatePerSecond_ * inflowFraction(S, Q, A);
+  const double Missing = C.QuotaUnits_ - Q.AvailableUnits_;
+  if (RetryAfter <= 0)
+    RetryAfter = Rate > 0 ? static_cast<Millis>(std::min(
+                                Missing * 1000 / Rate,
+                                static_cast<double>(MaxQuotaRetryAfter)))
+                          : MaxQuotaRetryAfter;
+  RetryAfter = std::clamp(RetryAfter, MinQuotaRetryAfter, MaxQuotaRetryAfter);
+  return CallError{
+      ErrorKind::OverLimit, RunState::NotRun,
+      fmt::format("the account's quota is used up: {:.0f} units here, {:.0f} "
+                  "asked for, {:.4f} of the rate is this process's own; {}",
+                  Q.AvailableUnits_, C.QuotaUnits_, ownPart(S),
+                  C.QuotaPeer_.empty() ? std::string("no peer asked")
+                                       : "asked " + C.QuotaPeer_),
+      RetryAfter};
+}
 
 std::optional<CallError> chargeQuota(State &S, Call &C, const Account &A) {
   if (A.RatePerSecond_ <= 0)
     return std::nullopt;
-  QuotaState &Q = findOrCreateQuota(S, A.Name_);
-  const double Units = quotaUnits(C, A);
-  Q.DemandSinceUpdate_ += Units;
-  refillQuotaBucket(S, Q, A);
-  const double Capacity =
-      std::max(A.Burst_, A.RatePerSecond_) * Q.UsableFraction_;
-  // A request that costs more than a whole bucket is admitted by a full one.
-  const double RequiredUnits = std::min(Units, Capacity);
-  // The copies of a bucket differ by admissions that are not received yet. The
-  // allowed debt prevents that a request within the quota is refused for that.
-  const double MaxDebt = A.Unit_ == RateUnit::Tokens
-                             ? S.Settings_.Bounds_.QuotaSlack_ *
-                                   MaxDebtFraction * Q.UsableFraction_
-                             : 0;
-  if (Q.AvailableUnits_ + MaxDebt >= RequiredUnits) {
-    Q.AvailableUnits_ -= Units;
-    Q.Admitted_ += Units;
-    C.ChargedUnits_ = Units;
+  QuotaState &Q = refilledQuota(S, A);
+  C.QuotaUnits_ = quotaUnits(C, A);
+  Q.AskedSinceUpdate_ += C.QuotaUnits_;
+  Q.LargestUnits_ = std::max(Q.LargestUnits_, C.QuotaUnits_);
+  if (admitsHere(S, Q, A, C.QuotaUnits_)) {
+    admit(Q, C);
     return std::nullopt;
   }
-  Q.RefusedSinceUpdate_ += Units;
-  const double Rate = A.RatePerSecond_ * Q.UsableFraction_;
-  const Millis RetryAfter = std::clamp(
-      static_cast<Millis>((RequiredUnits - Q.AvailableUnits_) * 1000 / Rate),
-      MinQuotaRetryAfter, MaxQuotaRetryAfter);
-  return CallError{
-      ErrorKind::OverLimit, RunState::NotRun,
-      fmt::format("the account's quota is used up: {:.0f} of {:.0f} units "
-                  "left, {:.0f} asked for, {:.2f} of the rate usable here",
-                  Q.AvailableUnits_, Capacity, Units, Q.UsableFraction_),
-      RetryAfter};
+  const bool RecentlyRefused =
+      S.Now_ < Q.RefusedUntil_ && C.QuotaUnits_ >= Q.RefusedUnits_;
+  if (RecentlyRefused)
+    return quotaError(S, C, A, 0);
+  if (!quotaPeer(S, A.Name_).empty()) {
+    C.Phase_ = CallPhase::AwaitingQuota;
+    return std::nullopt;
+  }
+  const double Granted =
+      takeQuotaUnits(S, Q, A, C.QuotaUnits_, /*Divisible=*/false);
+  if (Granted <= 0)
+    return quotaError(S, C, A, 0);
+  Q.AvailableUnits_ += Granted;
+  admit(Q, C);
+  return std::nullopt;
+}
+
+bool chargeWaitingCall(State &S, Call &C, const Account &A, double Granted) {
+  QuotaState &Q = refilledQuota(S, A);
+  if (Granted < C.QuotaUnits_ && !admitsHere(S, Q, A, C.QuotaUnits_))
+    return false;
+  admit(Q, C);
+  return true;
 }
 
 void refundQuota(State &S, const Call &C) {
@@ -168,64 +215,57 @@
   Found->second.Admitted_ -= C.ChargedUnits_;
 }
 
-void mergePeerAdmissions(State &S, const PeerState &Before,
-                         const SummaryMessage &Summary,
-                         std::uint64_t Incarnation) {
-  // The first summary of a peer does not show when its units were admitted, so
-  // none are deducted.
-  if (Before.SummaryIncarnation_ == 0)
-    return;
-  const bool SameIncarnation = Before.SummaryIncarnation_ == Incarnation;
-  for (const DemandRow &Row : Summary.Demands_) {
-    const DemandRow *OldRow =
-        SameIncarnation ? findDemandRow(Before, Row.Account_) : nullptr;
-    const double Deducted = OldRow == nullptr ? 0 : OldRow->Admitted_;
-    QuotaState &Q = findOrCreateQuota(S, Row.Account_);
-    Q.AvailableUnits_ -= Row.Admitted_ - Deducted;
-    Q.OthersAdmitted_ += Row.Admitted_ - Deducted;
-    if (Summary.Scope_ == SummaryScope::Process)
-      Q.GroupAdmitted_ += Row.Admitted_ - Deducted;
-  }
-}
-
 namespace {
 
 /// Logs the inputs of the decisions on an account since the last update, if
-/// units were refused or the bucket is in debt. The totals let the admissions
-/// of all processes be added up over time and be compared with what each has
-/// deducted for the others.
-void logQuotaState(const std::string &Account, const QuotaState &Q,
-                   Effects &Out) {
-  if (Q.RefusedSinceUpdate_ <= 0 && Q.AvailableUnits_ >= 0)
+/// units were refused.
+void logQuotaState(const State &S, const std::string &Account,
+                   const QuotaState &Q, Effects &Out) {
+  if (Q.RefusedSinceUpdate_ <= 0)
     return;
   const auto Text = [](double Units) { return fmt::format("{:.0f}", Units); };
   logEvent(Out, "quota_state",
            {{"account", Account},
             {"left", Text(Q.AvailableUnits_)},
             {"admitted", Text(Q.Admitted_)},
-            {"others_admitted", Text(Q.OthersAdmitted_)},
-            {"asked", Text(Q.DemandSinceUpdate_)},
+            {"asked", Text(Q.AskedSinceUpdate_)},
             {"refused", Text(Q.RefusedSinceUpdate_)},
-            {"fraction", fmt::format("{:.2f}", Q.UsableFraction_)}});
+            {"inflow", Text(Q.InflowPerSecond_)},
+            {"part", fmt::format("{:.4f}", ownPart(S))},
+            {"peer", quotaPeer(S, Account)}});
+}
+
+/// Removes the state of accounts that have no quota any more.
+void removeUnlimitedAccounts(State &S) {
+  std::erase_if(S.Quotas_.Accounts_, [&](const auto &Entry) {
+    return limitedAccount(S, Entry.first) == nullptr;
+  });
 }
 
 } // namespace
 
 void tickQuotas(State &S, Effects &Out) {
   const Millis Elapsed = S.Now_ - S.Quotas_.UpdatedAt_;
-  if (Elapsed < DemandUpdatePeriod)
+  if (Elapsed < UpdatePeriod)
     return;
   S.Quotas_.UpdatedAt_ = S.Now_;
+  removeUnlimitedAccounts(S);
   const double Weight =
-      std::min(1.0, static_cast<double>(Elapsed) / DemandAveragingTime);
-  for (auto &[Name, Q] : S.Quotas_.Accounts_) {
-    logQuotaState(Name, Q, Out);
+      1 - std::exp(-static_cast<double>(Elapsed) / InflowAveragingTime);
+  for (const auto &[Name, A] : S.Config_.Configuration_.AccountsByName_) {
+    if (A.RatePerSecond_ <= 0)
+      continue;
+    QuotaState &Q = refilledQuota(S, A);
+    logQuotaState(S, Name, Q, Out);
+    const double Inflow =
+        Q.InflowSinceUpdate_ * 1000 / static_cast<double>(Elapsed);
+    Q.InflowPerSecond_ += Weight * (Inflow - Q.InflowPerSecond_);
+    Q.InflowSinceUpdate_ = 0;
+    Q.AskedSinceUpdate_ = 0;
     Q.RefusedSinceUpdate_ = 0;
-    const double PerSecond =
-        Q.DemandSinceUpdate_ * 1000 / static_cast<double>(Elapsed);
-    Q.DemandPerSecond_ += Weight * (PerSecond - Q.DemandPerSecond_);
-    Q.DemandSinceUpdate_ = 0;
-    Q.UsableFraction_ = usableFraction(S, Name, Q);
+    Q.LargestUnits_ *= LargestUnitsDecay;
+    if (quotaPeer(S, Name).empty())
+      Q.AvailableUnits_ = std::min(Q.AvailableUnits_, capacity(S, Q, A));
   }
 }
 
--- a/src/settings.h
+++ b/src/settings.h
@@ -58,9 +58,12 @@
                                ///< allowed in addition to RetryShare_.
   Millis QuotaWindow_ = 8000;  ///< Window over which an account's units are
                                ///< counted.
-  double QuotaSlack_ = 0;      ///< Units by which all processes together may
-                               ///< exceed a quota.
-  Millis UsageWindow_ = 5000;  ///< Period that one usage report covers.
+  /// Fraction of the units of a window by which all processes together may
+  /// exceed a quota.
+  double QuotaExcess_ = 0;
+  double QuotaSlack_ = 0; ///< Further units by which all processes together may
+                          ///< exceed a quota.
+  Millis UsageWindow_ = 5000; ///< Period that one usage report covers.
   /// Time after the end of a usage window within which its report must arrive.
   Millis UsageReportTimeout_ = 10000;
   double CanaryShare_ = 0.1; ///< Share of requests that a version under
--- a/src/state.h
+++ b/src/state.h
@@ -95,7 +95,8 @@
   Running,         ///< Has an attempt in progress.
   AwaitingOutcome, ///< Waits for the outcome of another call with the same key.
   Locating,        ///< Waits for a peer to send the call's record.
-  HandingOver      ///< Stopped until a peer acknowledges the record.
+  HandingOver,     ///< Stopped until a peer acknowledges the record.
+  AwaitingQuota    ///< Waits for units of its account's quota from a peer.
 };
 
 /// One caller's request from acceptance to the answer.
@@ -154,7 +155,11 @@
   int Rank_ = 0;                ///< Rank of the route; the lowest goes first.
   Millis LatencyObjective_ = 0; ///< For the whole answer or the first event.
   Millis QueuedAt_ = 0;         ///< When the call was last put into its queue.
+  double QuotaUnits_ = 0;       ///< Units that the account's quota counts.
   double ChargedUnits_ = 0;     ///< Units charged to the account's quota.
+  std::string QuotaPeer_;       ///< Peer that was asked for the units.
+  Millis QuotaAskedAt_ = 0;     ///< When it was asked.
+  int QuotaRequests_ = 0;       ///< How often peers were asked.
   bool UsageCounted_ = false;   ///< Counted in the account's usage.
   /// Tokens of the prompt up to the end of each block.
   std::vector<std::int64_t> PrefixTokens_;
@@ -372,22 +377,31 @@
 
 /// One account's quota as this process sees it.
 struct QuotaState {
-  double AvailableUnits_ = 0; ///< Units left for all processes; below 0: debt.
-  Millis RefilledAt_ = 0;     ///< Last refill; 0: none yet.
-  double Admitted_ = 0;       ///< Units admitted by this incarnation.
-  /// Units admitted by the processes that report to this one.
-  double GroupAdmitted_ = 0;
-  double OthersAdmitted_ = 0;     ///< Units admitted by all other processes.
-  double DemandPerSecond_ = 0;    ///< Moving average of units requested here.
-  double DemandSinceUpdate_ = 0;  ///< Units requested since the last averaging.
+  /// Units that this process may use or give away; below 0: used in advance.
+  double AvailableUnits_ = 0;
+  Millis RefilledAt_ = 0; ///< Last refill; 0: none yet.
+  /// Average of the units per second that arrive here: the own part of the rate
+  /// and the deposits of other processes.
+  double InflowPerSecond_ = 0;
+  double InflowSinceUpdate_ = 0; ///< Units arrived since the last averaging.
+  double LargestUnits_ = 0;      ///< Units of the largest recent request.
+  Millis RepaymentAskedAt_ = 0;  ///< When units used in advance were asked for.
+  /// Until then requests of `RefusedUnits_` or more are refused without asking.
+  Millis RefusedUntil_ = 0;
+  double RefusedUnits_ = 0;
+  double Admitted_ = 0;           ///< Units admitted by this incarnation.
+  double AskedSinceUpdate_ = 0;   ///< Units asked for since the last averaging.
   double RefusedSinceUpdate_ = 0; ///< Units refused since the last averaging.
-  /// Fraction of the account's rate and burst that this process may use.
-  double UsableFraction_ = 1;
 };
 
 struct QuotaTable {
   std::map<std::string, QuotaState> Accounts_; ///< By account name.
   Millis UpdatedAt_ = 0;
+  Millis DepositedAt_ = 0; ///< When spare units were last sent away.
+  /// Peers that have not answered a request for units, and until when none is
+  /// sent to them.
+  std::map<std::string, Millis> UnresponsiveUntil_;
+  std::map<std::string, QuotaMessage> Outbox_; ///< Messages to send, by peer.
 };
 
 struct UsageState {
--- a/src/summaries.cpp
+++ b/src/summaries.cpp
@@ -4,7 +4,6 @@
 
 #include "aggregators.h"
 #include "membership.h"
-#include "quota.h"
 #include "rollout.h"
 #include "storereaders.h"
 #include "usage.h"
@@ -52,12 +51,6 @@
       if (U.InFlight_ > 0)
         Loads_[upstreamHash(U)] = {upstreamHash(U), U.InFlight_,
                                    static_cast<int>(U.PrefillMs_)};
-    for (const auto &[Name, Q] : S.Quotas_.Accounts_) {
-      const double Others = Scope == SummaryScope::All     ? Q.OthersAdmitted_
-                            : Scope == SummaryScope::Group ? Q.GroupAdmitted_
-                                                           : 0;
-      Demands_[Name] = {Name, Q.DemandPerSecond_, Q.Admitted_ + Others, 0};
-    }
     for (const auto &[Service, W] : S.Fleet_.Work_)
       Work_[Service] = {Service, std::max(W.FastAverage_, W.SlowAverage_)};
     for (const auto &[Service, Rollout] : S.Release_.Rollouts_)
@@ -67,19 +60,8 @@
     writeStoreState(S, Message_);
   }
 
-  /// Adds a peer's summary. The units that it admitted are already in this
-  /// process's own counts.
-  /// @param Recent false if the summary is too old to count: then only its
-  /// demand is added, as stale
-  SummaryBuilder &addPeer(const PeerState &Peer, bool Recent) {
-    for (const DemandRow &Row : Peer.Summary_.Demands_) {
-      DemandRow &Total = Demands_[Row.Account_];
-      Total.Account_ = Row.Account_;
-      (Recent ? Total.PerSecond_ : Total.StalePerSecond_) += Row.PerSecond_;
-      Total.StalePerSecond_ += Row.StalePerSecond_;
-    }
-    if (!Recent)
-      return *this;
+  /// Adds a peer's summary.
+  SummaryBuilder &addPeer(const PeerState &Peer) {
     Message_.ProcessCount_ += Peer.Summary_.ProcessCount_;
     for (const LoadRow &Row : Peer.Summary_.Loads_) {
       LoadRow &Total = Loads_[Row.UpstreamHash_];
@@ -106,8 +88,6 @@
   SummaryMessage build() {
     for (auto &[Upstream, Row] : Loads_)
       Message_.Loads_.push_back(Row);
-    for (auto &[Account, Row] : Demands_)
-      Message_.Demands_.push_back(std::move(Row));
     for (auto &[Service, Row] : Work_)
       Message_.Work_.push_back(std::move(Row));
     return std::move(Message_);
@@ -116,25 +96,21 @@
 private:
   SummaryMessage Message_;
   std::unordered_map<std::uint32_t, LoadRow> Loads_;
-  std::map<std::string, DemandRow> Demands_;
   std::map<std::string, WorkRow> Work_;
 };
 
 /// Subtracts this process's own report, as the aggregator received it, from a
 /// summary of all processes.
-/// @param IncludesSelf set to true if the summary includes such a report
 /// @return false if the included report is no longer retained, so that the
 /// summary cannot be used
-bool subtractOwnReport(const State &S, SummaryMessage &Summary,
-                       bool &IncludesSelf) {
+bool subtractOwnReport(const State &S, SummaryMessage &Summary) {
   const std::uint32_t OwnHash = instanceHash(S.Self_);
   const auto Included = std::find_if(
       Summary.IncludedReports_.begin(), Summary.IncludedReports_.end(),
       [&](const IncludedReportRow &Candidate) {
         return Candidate.InstanceHash_ == OwnHash;
       });
-  IncludesSelf = Included != Summary.IncludedReports_.end();
-  if (!IncludesSelf)
+  if (Included == Summary.IncludedReports_.end())
     return true;
   const auto &Reports = S.Membership_.SentReports_;
   const auto Report = std::find_if(
@@ -150,12 +126,6 @@
         Total.InFlight_ = std::max(0, Total.InFlight_ - OwnRow.InFlight_);
         Total.PrefillMs_ = std::max(0, Total.PrefillMs_ - OwnRow.PrefillMs_);
       }
-  for (const DemandRow &OwnRow : Report->Demands_)
-    for (DemandRow &Total : Summary.Demands_)
-      if (Total.Account_ == OwnRow.Account_) {
-        Total.PerSecond_ = std::max(0.0, Total.PerSecond_ - OwnRow.PerSecond_);
-        Total.Admitted_ -= OwnRow.Admitted_;
-      }
   for (const WorkRow &OwnRow : Report->Work_)
     for (WorkRow &Total : Summary.Work_)
       if (Total.Service_ == OwnRow.Service_)
@@ -219,7 +189,7 @@
   const std::vector<std::string> Members = groupReporters(S);
   SummaryBuilder Group(S, SummaryScope::Group);
   for (const std::string &Name : Members)
-    Group.addPeer(S.Membership_.Peers_.at(Name), true);
+    Group.addPeer(S.Membership_.Peers_.at(Name));
   SummaryMessage Summary = Group.build();
   if (!isLargeCluster(S))
     Summary.Usage_ = usageRows(S, SummaryUsageWindows);
@@ -230,7 +200,8 @@
     return;
   SummaryBuilder AllProcesses(S, SummaryScope::All);
   for (const PeerState *Source : summarySources(S))
-    AllProcesses.addPeer(*Source, hasRecentSummary(S, *Source));
+    if (hasRecentSummary(S, *Source))
+      AllProcesses.addPeer(*Source);
   for (const std::string &Name : Members)
     AllProcesses.includeReport(S.Membership_.Peers_.at(Name));
   Out.push_back(SendToPeers{Members, AllProcesses.build()});
@@ -282,20 +253,8 @@
     return;
   mergeAggregators(S, Message.Aggregators_);
   SummaryMessage Summary = Message;
-  bool IncludesSelf = false;
-  if (Message.Scope_ == SummaryScope::All &&
-      !subtractOwnReport(S, Summary, IncludesSelf))
+  if (Message.Scope_ == SummaryScope::All && !subtractOwnReport(S, Summary))
     return;
-  // The units admitted since the last summary are the difference between two
-  // summaries, which is meaningful only if both count the same processes.
-  const bool Comparable = Sender.Summary_.Scope_ == Message.Scope_ &&
-                          Sender.SummaryIncludedSelf_ == IncludesSelf &&
-                          (Message.Scope_ != SummaryScope::All ||
-                           Sender.SummaryIncarnation_ == From.Incarnation_);
-  if (Comparable)
-    mergePeerAdmissions(S, Sender, Summary, From.Incarnation_);
-  Sender.SummaryIncarnation_ = From.Incarnation_;
-  Sender.SummaryIncludedSelf_ = IncludesSelf;
   Sender.Summary_ = std::move(Summary);
   Sender.SummaryReceivedAt_ = S.Now_;
   S.Membership_.OthersLoadsChanged_ = true;
--- a/src/summaries.h
+++ b/src/summaries.h
@@ -1,5 +1,5 @@
 // Summaries that processes exchange several times a second: requests in flight
-// at upstreams, demand of accounts, and requests that began to run.
+// at upstreams, work of services, and requests that began to run.
 #pragma once
 
 #include "state.h"
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -41,6 +41,7 @@
   ProcessSettings.StoreUrl_ = "http://10.9.9.9:1";
   ProcessSettings.CloudUrl_ = "http://10.9.9.8:1";
   ProcessSettings.Limits_.DrainTimeout_ = 8000;
+  ProcessSettings.Bounds_.QuotaExcess_ = 0.1;
   ProcessSettings.Bounds_.QuotaSlack_ = QuotaSlackTokens_;
   P.State_ = makeState(ProcessSettings, P.Incarnation_);
   P.Running_ = true;
@@ -178,7 +179,11 @@
   if (const auto *Start = std::get_if<StartAttempt>(&E)) {
     answerAttempt(I, *Start);
   } else if (const auto *Refusal = std::get_if<SendError>(&E)) {
-    WaitingTokens_.erase(Refusal->RequestId_);
+    const auto Waiting = WaitingTokens_.find(Refusal->RequestId_);
+    if (Waiting != WaitingTokens_.end()) {
+      RefusedTokens_ += Waiting->second;
+      WaitingTokens_.erase(Waiting);
+    }
   } else if (const auto *Send = std::get_if<SendToPeer>(&E)) {
     sendMessage(I, Send->Peer_, Send->Message_);
   } else if (const auto *Broadcast = std::get_if<SendToPeers>(&E)) {
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -72,6 +72,9 @@
   /// Prompt tokens of the requests that were dispatched for the first time, by
   /// account.
   std::map<std::string, double> StartedTokens_;
+  /// Prompt tokens of all requests that were refused before they were
+  /// dispatched.
+  double RefusedTokens_ = 0;
   Millis Now_ = 100000;
   std::int64_t MessageCount_ = 0;   ///< Messages sent, including lost ones.
   std::int64_t StoreCallCount_ = 0; ///< Calls to the store.
--- a/tests/quota_pressure_test.cpp
+++ b/tests/quota_pressure_test.cpp
@@ -217,9 +217,13 @@
 TEST_F(QuotaPressureTest, accountWithinItsQuota_calm_isNeverRefused) {
   startGroup(31);
   sendTrafficFor(4000, 0.3);
-  RequestedTokens_ = TotalAdmitted_ = 0;
+  RequestedTokens_ = TotalAdmitted_ = Group_->RefusedTokens_ = 0;
   sendTrafficFor(20000, CalmMultiple);
-  EXPECT_GE(TotalAdmitted_, RequestedTokens_ * 0.99);
+  const double Requested = RequestedTokens_;
+  PendingTokens_ = 0;
+  sendTrafficFor(1000, 0); // The last requests are answered.
+  EXPECT_GE(TotalAdmitted_, Requested * 0.99);
+  EXPECT_LE(Group_->RefusedTokens_, Requested * 0.01);
 }
 
 } // namespace endivewharf
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -2,12 +2,16 @@
 // and little more than the quota is admitted, also when processes restart or
 // summaries stop arriving.
 #include "platformfixture.h"
+#include "platformgroup.h"
 
-#include "quota.h"
+#include "membership.h"
+#include "quotaexchange.h"
 
 #include <cmath>
+#include <memory>
 #include <numeric>
 #include <random>
+#include <utility>
 
 namespace endivewharf {
 
@@ -15,7 +19,8 @@
 
 class QuotaTest : public PlatformTest {
 protected:
-  /// Sends prompts until one exceeds the quota.
+  /// Sends prompts until one exceeds the quota or waits for units of a peer.
+  /// Each one that is dispatched is answered.
   /// @param Tokens size of each prompt
   /// @return tokens admitted by then
   double admittedTokens(std::int64_t Tokens, int MaxRequests) {
@@ -24,27 +29,72 @@
       CallRequest R = makeRequest("/check/1", "k1");
       R.PromptTokens_ = Tokens;
       sendRequest(std::move(R));
-      const auto Refusal = firstEffect<SendError>();
-      if (Refusal && Refusal->Error_.Kind_ == ErrorKind::OverLimit)
+      const auto Start = firstEffect<StartAttempt>();
+      if (!Start)
         return Sum;
       Sum += static_cast<double>(Tokens);
+      reduceEvent(ServiceAnswer{Start->Attempt_, 200, "", "ok", {}});
     }
     return Sum;
   }
 
-  /// Receives a summary of a peer in which the account's demand per second and
-  /// total admitted are both `Units`.
-  void receivePeerDemand(std::uint64_t Incarnation, double Units) {
-    SummaryMessage Summary;
-    Summary.Demands_.push_back({"buyers", Units, Units});
-    receiveSummary("entry-2", Incarnation, Summary);
+  /// Makes a peer known to which requests for the account's units go.
+  void knowCollector() {
+    std::string Name = "entry-2";
+    for (int I = 3; quotaPeerIsNot(Name); ++I) {
+      ASSERT_LT(I, 20);
+      Name = "entry-" + std::to_string(I);
+    }
+    Collector_ = Name;
+  }
+
+  /// Introduces a peer and expects that it is the account's quota peer.
+  bool quotaPeerIsNot(const std::string &Name) {
+    receiveDigestFrom(Name, 9);
+    receiveSummary(Name, 9, {});
+    return quotaPeer(State_, "buyers") != Name;
+  }
+
+  /// Sends a prompt of the account.
+  /// @return the requests for units that it caused
+  std::vector<QuotaRequestRow> requestedUnits(std::int64_t Tokens) {
+    CallRequest R = makeRequest("/check/1", "k1");
+    R.PromptTokens_ = Tokens;
+    sendRequest(std::move(R));
+    return sentRequests();
+  }
+
+  /// Requests for units among the effects of the last event.
+  std::vector<QuotaRequestRow> sentRequests() const {
+    std::vector<QuotaRequestRow> Rows;
+    for (const Effect &E : LastEffects_)
+      if (const auto *Send = std::get_if<SendToPeer>(&E))
+        if (const auto *Message = std::get_if<QuotaMessage>(&Send->Message_))
+          Rows.insert(Rows.end(), Message->Requests_.begin(),
+                      Message->Requests_.end());
+    return Rows;
+  }
+
+  /// Receives the answer to a request for units.
+  void receiveGrant(const QuotaRequestRow &Request, double Units,
+                    Millis RetryAfter = 0) {
+    QuotaMessage Message;
+    Message.Grants_.push_back({Request.Account_, Units, Request.Call_,
+                               Request.OriginHash_, RetryAfter});
+    reduceEvent(PeerReceived{{{Collector_, 9}, Message}});
   }
+
+  QuotaState &buyers() { return State_.Quotas_.Accounts_.at("buyers"); }
+
+  std::string Collector_;
 };
 
 } // namespace
 
 TEST_F(QuotaTest, account_beyondItsQuota_isToldWhenToComeBack) {
+  advanceTime(3000); // The bucket is full after this time.
   EXPECT_LE(admittedTokens(100, 50), 1000);
+  ASSERT_TRUE(firstEffect<SendError>());
   const CallError Error = firstEffect<SendError>()->Error_;
   EXPECT_EQ(Error.RunState_, RunState::NotRun);
   EXPECT_GT(Error.RetryAfter_, 0);
@@ -58,47 +108,109 @@
   }
 }
 
-TEST_F(QuotaTest, peer_hasAdmittedTheQuota_nothingIsAdmittedHere) {
-  receiveDigestFrom("entry-2", 9);
-  receivePeerDemand(9, 0);
-  advanceTime(3000); // The bucket is full after this time.
-  receivePeerDemand(9, 5000);
-  EXPECT_EQ(admittedTokens(100, 5), 0);
+TEST_F(QuotaTest, peer_refusesTheUnits_nothingIsAdmittedHere) {
+  knowCollector();
+  const auto Requests = requestedUnits(5000);
+  ASSERT_EQ(Requests.size(), 1U);
+  EXPECT_EQ(Requests[0].Units_, 5000);
+  receiveGrant(Requests[0], 0, 700);
+  const auto Refusal = firstEffect<SendError>();
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Error_.Kind_, ErrorKind::OverLimit);
+  EXPECT_EQ(Refusal->Error_.RunState_, RunState::NotRun);
+  EXPECT_EQ(Refusal->Error_.RetryAfter_, 700);
+  EXPECT_EQ(admittedTokens(5000, 1), 0);
 }
 
-TEST_F(QuotaTest, bucket_firstUsedAfterPeersAdmitted_keepsItsDebt) {
-  receiveDigestFrom("entry-2", 9);
-  receivePeerDemand(9, 0);
-  receivePeerDemand(9, 5000);
-  EXPECT_EQ(admittedTokens(100, 5), 0);
+TEST_F(QuotaTest, peer_grantsTheUnits_callIsDispatchedAndChargedOnce) {
+  knowCollector();
+  const double Before = buyers().AvailableUnits_;
+  const auto Requests = requestedUnits(5000);
+  ASSERT_EQ(Requests.size(), 1U);
+  receiveGrant(Requests[0], 5000);
+  EXPECT_TRUE(firstEffect<StartAttempt>());
+  EXPECT_NEAR(buyers().AvailableUnits_, Before, 1);
+  EXPECT_EQ(buyers().Admitted_, 5000);
 }
 
-TEST_F(QuotaTest, process_justStarted_owesNothingForItsPeersPast) {
-  receiveDigestFrom("entry-2", 9);
-  receivePeerDemand(9, 1e6); // Admitted over several hours.
+TEST_F(QuotaTest, grant_afterTheCallHasEnded_isGivenBackOnce) {
+  knowCollector();
+  const auto Requests = requestedUnits(5000);
+  ASSERT_EQ(Requests.size(), 1U);
+  reduceEvent(CallerDisconnected{NextCallId_ - 1});
+  receiveGrant(Requests[0], 5000);
+  EXPECT_FALSE(firstEffect<StartAttempt>());
+  double Deposited = 0;
+  for (int I = 0; I < 20; ++I) {
+    advanceTime(50);
+    for (const Effect &E : LastEffects_)
+      if (const auto *Send = std::get_if<SendToPeer>(&E))
+        if (const auto *Message = std::get_if<QuotaMessage>(&Send->Message_))
+          for (const QuotaDepositRow &Row : Message->Deposits_)
+            Deposited += Row.Units_;
+  }
+  EXPECT_GE(Deposited, 4000);
+  EXPECT_LE(Deposited, 5000 + 1000);
+}
+
+TEST_F(QuotaTest, peer_doesNotAnswer_callIsRefusedSoonAndUnrun) {
+  knowCollector();
+  ASSERT_EQ(requestedUnits(5000).size(), 1U);
+  std::optional<SendError> Refusal;
+  for (int I = 0; I < 14 && !Refusal; ++I) {
+    advanceTime(50);
+    Refusal = firstEffect<SendError>();
+  }
+  ASSERT_TRUE(Refusal);
+  EXPECT_EQ(Refusal->Error_.RunState_, RunState::NotRun);
+  EXPECT_GT(Refusal->Error_.RetryAfter_, 0);
+}
+
+TEST_F(QuotaTest, process_new_hasNoPartOfTheRateUntilAllCountIt) {
+  knowCollector();
   advanceTime(1000);
-  EXPECT_GT(admittedTokens(100, 3), 0);
+  EXPECT_LE(buyers().AvailableUnits_, 0);
 }
 
-TEST_F(QuotaTest, peer_restarted_countsFromNothing) {
+TEST_F(QuotaTest, process_restarted_hasItsPartOfTheRateAtOnce) {
+  PeerRow Row;
+  Row.Instance_ = {"entry-1", 1};
+  Row.Address_ = "10.0.0.1:7000";
+  startProcess(2, {JoinRecord{Row}});
   receiveDigestFrom("entry-2", 9);
-  receivePeerDemand(9, 50000);
-  advanceTime(1000);
-  receiveDigestFrom("entry-2", 10);
-  receivePeerDemand(10, 100);
-  EXPECT_GT(admittedTokens(100, 3), 0);
+  advanceTime(250);
+  const double Before = buyers().AvailableUnits_;
+  advanceTime(250);
+  EXPECT_NEAR(buyers().AvailableUnits_ - Before, 0.5 * 1000 * 0.25, 1);
 }
 
-TEST_F(QuotaTest, peers_silent_lessOfTheRateIsUsed) {
+TEST_F(QuotaTest, peers_silent_onlyTheOwnPartOfTheRateIsUsed) {
   receiveDigestFrom("entry-2", 9);
-  receivePeerDemand(9, 100);
-  advanceTime(1000);
-  admittedTokens(10, 1);
-  advanceTime(300);
-  EXPECT_EQ(State_.Quotas_.Accounts_.at("buyers").UsableFraction_, 1);
-  advanceTime(4000); // No summary arrives in this time.
-  advanceTime(300);
-  EXPECT_LE(State_.Quotas_.Accounts_.at("buyers").UsableFraction_, 0.5);
+  advanceTime(6000); // This process is no longer new.
+  double Admitted = 0;
+  for (Millis Passed = 0; Passed < 4000; Passed += 50) {
+    advanceTime(50);
+    Admitted += admittedTokens(10, 10);
+  }
+  // Half of the rate for 4 s, and half of a bucket.
+  EXPECT_LE(Admitted, 0.5 * 1000 * 4 + 0.5 * 1000);
+  EXPECT_GE(Admitted, 0.9 * 0.5 * 1000 * 4);
+}
+
+TEST_F(QuotaTest, process_frozenForLong_keepsItsOwnPartOfTheBucketOnly) {
+  knowCollector();
+  advanceTime(6000);
+  advanceTime(250);
+  QuotaMessage Deposit;
+  Deposit.Deposits_.push_back({"buyers", 900});
+  for (int I = 0; I < 20; ++I) {
+    advanceTime(50);
+    reduceEvent(PeerReceived{{{Collector_, 9}, Deposit}});
+  }
+  ASSERT_GT(buyers().AvailableUnits_, 500);
+  advanceTime(5000);
+  EXPECT_LE(buyers().AvailableUnits_,
+            1000.0 / static_cast<double>(estimatedClusterSize(State_)) + 1);
 }
 
 TEST_F(QuotaTest, manyProcesses_beginAtOnce_admitOneBucketTogether) {
@@ -110,14 +222,14 @@
 
 namespace {
 
-/// Many processes that admit the prompts of one account and send each other
-/// summaries twice a second, as in a real installation.
+/// Many processes that admit the prompts of one account and move its units
+/// between them.
 class QuotaGroupTest : public ::testing::Test {
 protected:
   static constexpr int ProcessCount = 34;
-  static constexpr Millis StepDuration = 20;   // ms
-  static constexpr Millis SummaryPeriod = 500; // ms
-  static constexpr Millis QuotaWindow = 8000;  // ms
+  static constexpr Millis StepDuration = PlatformGroup::StepDuration;
+  static constexpr Millis WarmUpTime = 14000; // ms before the traffic starts
+  static constexpr Millis QuotaWindow = 8000; // ms
   static constexpr double RateTokensPerSecond = 500000;
   static constexpr double BurstTokens = 500000;
   /// Tokens that a window may have beyond the fraction below.
@@ -129,76 +241,54 @@
   static constexpr int PromptsPerBatch = 3; // prompts that arrive together
 
   void SetUp() override {
-    Buyers_.Name_ = "buyers";
-    Buyers_.RatePerSecond_ = RateTokensPerSecond;
-    Buyers_.Burst_ = BurstTokens;
-    Buyers_.Unit_ = RateUnit::Tokens;
     for (double &Tokens : PendingTokens_)
       Tokens = drawPromptTokens();
-    restartProcesses();
+    Group_ = std::make_unique<PlatformGroup>(
+        ProcessCount, "[account buyers]\nkey = k1\nrate = 500000\n"
+                      "burst = 500000\nunit = tokens\n"
+                      "[service orders]\nmax_connections = 1000\n"
+                      "[route check]\nhost = shop.example\npath = /check/\n"
+                      "kind = repeatable\ntime_limit = 3000ms\n"
+                      "objective = 600ms\nservice = orders:1\n");
+    Group_->QuotaSlackTokens_ = QuotaSlackTokens;
+    HostRow Host = sampleHost("o1", "orders", "a", 1);
+    Host.Slots_ = 10000;
+    Group_->setHosts({Host});
+    Group_->runFor(WarmUpTime);
   }
 
-  /// Starts a new incarnation of all processes at once. Each knows the others
-  /// from the log but has received no summary yet.
+  /// Starts a new incarnation of all processes at once.
   void restartProcesses() {
-    Settings ProcessSettings;
-    ProcessSettings.Bounds_.QuotaSlack_ = QuotaSlackTokens;
-    Processes_.clear();
-    ++Incarnation_;
-    for (int I = 0; I < ProcessCount; ++I) {
-      ProcessSettings.Name_ = processName(I);
-      State S = makeState(ProcessSettings, Incarnation_);
-      S.Now_ = Now_;
-      S.Config_.Configuration_.AccountsByName_["buyers"] = Buyers_;
-      for (int Other = 0; Other < ProcessCount; ++Other)
-        if (Other != I)
-          S.Membership_.Peers_[processName(Other)].HeartbeatAdvancedAt_ = Now_;
-      Processes_.push_back(std::move(S));
-    }
+    for (int I = 0; I < ProcessCount; ++I)
+      Group_->killProcess(I, StepDuration);
   }
 
-  static std::string processName(int I) { return "entry-" + std::to_string(I); }
-
   /// Sends traffic of the account for a time in ms.
   /// @param Multiple total demand as a multiple of the rate
   /// @param Fractions fraction of the demand at each process; their sum is 1
   void runTraffic(Millis Time, double Multiple,
                   const std::vector<double> &Fractions) {
-    for (Millis Passed = 0; Passed < Time; Passed += StepDuration) {
-      Now_ += StepDuration;
-      double Admitted = 0;
+    Group_->runFor(Time, [&] {
       for (int I = 0; I < ProcessCount; ++I) {
-        Processes_[I].Now_ = Now_;
-        Effects Out;
-        tickQuotas(Processes_[I], Out);
         PendingTokens_[I] +=
             Fractions[I] * Multiple * RateTokensPerSecond * StepDuration / 1000;
-        Admitted += sendPrompts(I);
+        sendPrompts(I);
       }
-      AdmittedPerStep_.push_back(Admitted);
-      if (Now_ % SummaryPeriod < StepDuration)
-        for (int I = 0; I < ProcessCount; ++I)
-          sendSummary(I);
-    }
+      AdmittedPerStep_.push_back(
+          std::exchange(Group_->StartedTokens_["buyers"], 0.0));
+    });
   }
 
   /// Sends a batch of prompts once enough tokens are pending at a process.
-  /// @return tokens admitted
-  double sendPrompts(int I) {
-    double Admitted = 0;
+  void sendPrompts(int I) {
     if (PendingTokens_[I] < MeanPromptTokens * PromptsPerBatch)
-      return 0;
+      return;
     for (int N = 0; N < PromptsPerBatch; ++N) {
       const double Size = drawPromptTokens();
       PendingTokens_[I] -= Size;
-      Call C;
-      C.Account_ = "buyers";
-      C.Request_.PromptTokens_ = static_cast<std::int64_t>(Size);
       RequestedTokens_ += Size;
-      if (!chargeQuota(Processes_[I], C, Buyers_))
-        Admitted += Size;
+      Group_->sendRequest(I, "/check/1", "k1", static_cast<std::int64_t>(Size));
     }
-    return Admitted;
   }
 
   /// @return size of a random prompt; few prompts are much longer than the mean
@@ -208,22 +298,6 @@
                                  0.7 * MeanPromptTokens * std::log(1 - Draw));
   }
 
-  /// Delivers the summary of a process to all others.
-  void sendSummary(int I) {
-    const QuotaState &Q = Processes_[I].Quotas_.Accounts_["buyers"];
-    SummaryMessage Summary;
-    Summary.Demands_.push_back({"buyers", Q.DemandPerSecond_, Q.Admitted_});
-    for (int Other = 0; Other < ProcessCount; ++Other) {
-      if (Other == I)
-        continue;
-      PeerState &Sender = Processes_[Other].Membership_.Peers_[processName(I)];
-      mergePeerAdmissions(Processes_[Other], Sender, Summary, Incarnation_);
-      Sender.SummaryIncarnation_ = Incarnation_;
-      Sender.Summary_ = Summary;
-      Sender.SummaryReceivedAt_ = Now_;
-    }
-  }
-
   /// @return most tokens that were admitted in any window
   double maxWindowAdmitted() const {
     const std::size_t Steps = QuotaWindow / StepDuration;
@@ -261,15 +335,11 @@
     return Fractions;
   }
 
-  static constexpr Millis StartTime = 100000;
   std::mt19937 RandomGenerator_{7};
-  std::uint64_t Incarnation_ = 0;
-  Account Buyers_;
-  std::vector<State> Processes_;
+  std::unique_ptr<PlatformGroup> Group_;
   std::vector<double> PendingTokens_ = std::vector<double>(ProcessCount, 0);
   std::vector<double> AdmittedPerStep_; ///< Tokens admitted by all processes.
   double RequestedTokens_ = 0;
-  Millis Now_ = StartTime;
 };
 
 } // namespace
@@ -303,12 +373,17 @@
 TEST_F(QuotaGroupTest, account_withinItsQuota_isNeverRefused) {
   runTraffic(4000, 0.2, evenFractions());
   RequestedTokens_ = 0;
+  Group_->RefusedTokens_ = 0;
   AdmittedPerStep_.clear();
   runTraffic(12000, 0.6, skewedFractions());
-  EXPECT_GE(totalAdmitted(), RequestedTokens_ * 0.99);
+  const double Requested = RequestedTokens_;
+  runTraffic(1000, 0, skewedFractions()); // The last requests are answered.
+  EXPECT_GE(totalAdmitted(), Requested * 0.99);
+  EXPECT_LE(Group_->RefusedTokens_, Requested * 0.01);
 }
 
 TEST_F(QuotaTest, call_refusedUnrun_isGivenBack) {
+  advanceTime(3000); // The bucket is full after this time.
   CallRequest R = makeRequest("/booking/1", "k1");
   R.PromptTokens_ = 200;
   sendRequest(std::move(R));
