Stop: exit only after the last connections have been answered

Cause: the reducer lets the process exit in the same step that closes the listener if no call is pending; the loop was stopped before the backlog had been accepted and before requests on connections accepted last had been read, so these were reset.

Change: an edge is idle only when its listener has been closed for 250 ms, in which the last requests arrive; a process that has stopped refuses them as not run. Ruled out: the time limit of the backlog's emptying (not reached here).

--- a/src/http.cpp
+++ b/src/http.cpp
@@ -441,7 +441,11 @@
 }
 
 bool HttpEdge::isIdle() const {
-  return Impl_->PendingCalls_.empty() && Impl_->FinalWritesInFlight_ == 0;
+  // On the platform this edge has no listener for callers.
+  const bool Closed =
+      Impl_->CallerListener_ == nullptr || Impl_->CallerListener_->isClosed();
+  return Impl_->PendingCalls_.empty() && Impl_->FinalWritesInFlight_ == 0 &&
+         Closed;
 }
 
 } // namespace endivewharf
--- a/src/http.h
+++ b/src/http.h
@@ -59,7 +59,8 @@
   /// and each answer closes its connection.
   void closeListener();
 
-  /// @return true if no request is pending and no answer is being written
+  /// @return true if no request is pending, no answer is being written and no
+  ///         further request can arrive on a new connection
   bool isIdle() const;
 
 private:
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -126,7 +126,8 @@
 bool isStopTooNear(const State &S, const Call &C) {
   const Millis Needed =
       C.EventStream_ ? ExpectedStreamDuration : ExpectedPlainDuration;
-  return S.Stage_ == Stage::Draining && S.StopDeadline_ - S.Now_ < Needed;
+  return S.Stage_ == Stage::Stopped ||
+         (S.Stage_ == Stage::Draining && S.StopDeadline_ - S.Now_ < Needed);
 }
 
 /// Error for a call that may have run: it gives the run state that is known and
--- a/src/webserver.cpp
+++ b/src/webserver.cpp
@@ -26,6 +26,10 @@
 // the backlog may never be empty.
 constexpr auto AcceptDrainTimeout = std::chrono::milliseconds(300);
 
+// Time after the close in which the requests on connections that were accepted
+// last arrive.
+constexpr auto LastRequestsPeriod = std::chrono::milliseconds(250);
+
 using TcpUserTimeoutOption =
     asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
 
@@ -101,6 +105,12 @@
   }
   *ListenSocket_ = -1;
   Server_.close_sync();
+  ClosedAt_ = std::chrono::steady_clock::now();
+}
+
+bool WebListener::isClosed() const {
+  return *ListenSocket_ < 0 &&
+         std::chrono::steady_clock::now() - ClosedAt_ >= LastRequestsPeriod;
 }
 
 } // namespace endivewharf
--- a/src/webserver.h
+++ b/src/webserver.h
@@ -103,12 +103,18 @@
   /// Closing the socket at once would reset them.
   void close();
 
+  /// @return true once no connection can be made any more and the requests on
+  ///         those made last have had time to arrive
+  bool isClosed() const;
+
 private:
   void closeWhenBacklogEmpty(std::chrono::steady_clock::time_point Deadline);
 
   asio::io_context &Io_;
   /// Descriptor of the listening socket; -1: not bound, or closed.
   std::shared_ptr<int> ListenSocket_ = std::make_shared<int>(-1);
+  std::chrono::steady_clock::time_point
+      ClosedAt_; ///< When it stopped listening.
   RestinioServer Server_;
 };
 
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -2,6 +2,10 @@
 // stand-ins for the store and the servers, and injected faults.
 #include "platformcluster.h"
 
+#include <array>
+#include <asio/io_context.hpp>
+#include <asio/ip/tcp.hpp>
+#include <asio/write.hpp>
 #include <atomic>
 #include <csignal>
 #include <fmt/format.h>
@@ -173,6 +177,36 @@
   EXPECT_EQ(Aborted, 0);
 }
 
+// Connections that wait in the backlog when the process stops listening.
+TEST_F(PlatformProcessTest,
+       entry_stopsListening_answersTheBacklogBeforeItExits) {
+  constexpr int CallerCount = 20;
+  Children_.at("entry-0")->sendSignal(SIGTERM);
+  usleep(200'000);
+  Children_.at("entry-0")->sendSignal(SIGSTOP);
+  asio::io_context Io;
+  std::vector<asio::ip::tcp::socket> Callers;
+  for (int I = 0; I < CallerCount; ++I)
+    Callers.emplace_back(Io).connect(
+        {asio::ip::make_address_v4("127.0.0.1"),
+         static_cast<std::uint16_t>(EntryPorts_.at(0).CallerPort_)});
+  usleep(1'500'000); // The process is to stop listening in this time.
+  Children_.at("entry-0")->sendSignal(SIGCONT);
+  usleep(10'000);
+  int Answered = 0;
+  for (asio::ip::tcp::socket &Caller : Callers) {
+    std::string Request = "GET /check/1 HTTP/1.1\r\n";
+    for (const std::string &Header : requestHeaders("b", "k1"))
+      Request += Header + "\r\n";
+    asio::error_code Error;
+    asio::write(Caller, asio::buffer(Request + "\r\n"), Error);
+    std::array<char, 4096> Bytes{};
+    const std::size_t Count = Caller.read_some(asio::buffer(Bytes), Error);
+    Answered += std::string_view(Bytes.data(), Count).starts_with("HTTP/1.1 ");
+  }
+  EXPECT_EQ(Answered, CallerCount);
+}
+
 TEST_F(PlatformProcessTest, entry_stopped_cutsNoStream) {
   std::vector<HttpAnswer> Answers(4);
   std::vector<std::thread> Callers;
