Retry budget: a process that has just begun divides the slack by all it knows of

The slack of retries is divided by the largest number of processes that were alive at once, as this process saw it; one that has just begun has seen none, so each of N processes that begin together holds the whole slack for its first requests: 34 x 441 retries = 14,994 where 630 are allowed (new test, failed before). It now divides by the estimated size of the cluster, which counts what the log, the seeds and peers' digests name.

--- a/src/admission.cpp
+++ b/src/admission.cpp
@@ -1,6 +1,8 @@
 // Rate limits, admission checks, weighted fair queues and retry budgets.
 #include "admission.h"
 
+#include "membership.h"
+
 #include <algorithm>
 #include <fmt/format.h>
 
@@ -197,7 +199,7 @@
   // The configured slack of retries is divided equally between the processes.
   const double MaxBudget =
       std::max(1.0, Bounds.RetrySlack_ * RetryBudgetMargin /
-                        static_cast<double>(S.Membership_.PeakClusterSize_));
+                        static_cast<double>(estimatedClusterSize(S)));
   if (Found == S.Admission_.ServiceQueues_.end())
     S.Admission_.ServiceQueues_[C.ServiceQueue_].RetryBudget_ = MaxBudget;
   ServiceQueueState &Queue = S.Admission_.ServiceQueues_[C.ServiceQueue_];
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -220,6 +220,24 @@
   EXPECT_LE(admittedTokens(10, 100) * Processes, 1000 + Processes * 10);
 }
 
+TEST_F(QuotaTest, retryBudget_manyProcessesBeginAtOnce_isOneSlackTogether) {
+  constexpr int Processes = 34;
+  for (int I = 2; I <= Processes; ++I) {
+    PeerRow Row;
+    Row.Instance_ = {"entry-" + std::to_string(I), 1};
+    Row.Address_ = "10.0.0." + std::to_string(I) + ":7000";
+    reduceEvent(
+        LogRead{NextOffset_ + 1, 0, true, {{NextOffset_, JoinRecord{Row}}}});
+    ++NextOffset_;
+  }
+  State_.Settings_.Bounds_.RetrySlack_ = 630;
+  // Each process starts like this one and has heard from no peer yet.
+  sendRequest("/check/1");
+  EXPECT_LE(State_.Admission_.ServiceQueues_.at("orders").RetryBudget_ *
+                Processes,
+            630);
+}
+
 namespace {
 
 /// Many processes that admit the prompts of one account and move its units
