Fleet: hosts of a service are not reduced while a rollout of it is judged

Without hosts there is no evidence and no verdict.

Change: while a version awaits its verdict and until its deadline, no smaller number is ordered for that service. Test: FleetTest.rollout_underWay_* failed before.

--- a/src/fleet.cpp
+++ b/src/fleet.cpp
@@ -160,9 +160,19 @@
   }
 }
 
+/// @return true if a new version of the service still has to be judged. Hosts
+/// are then not reduced: the platform might take away those of the new version.
+bool isRolloutUnderWay(const State &S, const std::string &Service) {
+  const auto Found = S.Release_.Rollouts_.find(Service);
+  if (Found == S.Release_.Rollouts_.end())
+    return false;
+  const RolloutRow &Row = Found->second.Row_;
+  return !Row.RolledBack_ && Row.Share_ < 1 && S.UnixMs_ < Row.DeadlineUnixMs_;
+}
+
 /// Sends a scale request, unless one is pending or the last one still has the
-/// wanted number. Fewer hosts are requested only after a delay, and not while
-/// the averages are not settled after the start.
+/// wanted number. Fewer hosts are requested only after a delay, not while the
+/// averages are not settled after the start, and not during a rollout.
 /// @param Wanted planned number of hosts
 /// @param Present number of hosts that serve now
 void sendScaleRequest(State &S, const std::string &Service,
@@ -189,7 +199,8 @@
     if (Request.FewerWantedSince_ == 0)
       Request.FewerWantedSince_ = S.Now_;
     if (S.Now_ - Request.FewerWantedSince_ < ScaleDownDelay ||
-        S.Now_ - S.StartedAt_ < SavedWorkUseTime)
+        S.Now_ - S.StartedAt_ < SavedWorkUseTime ||
+        isRolloutUnderWay(S, Service))
       return;
   }
   Request.FewerWantedSince_ = 0;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -194,6 +194,35 @@
   EXPECT_EQ(State_.Lease_.Nonce_, 0U);
 }
 
+TEST_F(FleetTest, rollout_underWay_hostsAreNotTakenAway) {
+  acquireLease();
+  std::vector<HostRow> Hosts = makeHosts();
+  for (int I = 0; I < 5; ++I) {
+    Hosts.push_back(makeHost("n" + std::to_string(I), "engines", "a", 1));
+    Hosts.back().Version_ = "v2";
+  }
+  reduceEvent(HostsRead{Hosts, 2});
+  reduceEvent(
+      OperatorLogRead{12, {{11, RolloutRequest{"engines", "v2", 60000}}}});
+  bool Reduced = false;
+  for (int I = 0; I < 400; ++I) {
+    CallRequest R = makeRequest("/question/1");
+    R.PromptParts_ = {{"a", 100}};
+    R.PromptTokens_ = 100;
+    sendRequest(std::move(R));
+    advanceTime(50);
+    for (const Effect &E : LastEffects_) {
+      if (const auto *Scale = std::get_if<ScaleHosts>(&E))
+        Reduced = Reduced || (Scale->Zone_ == "a" && !Scale->Spot_ &&
+                              Scale->WantedHosts_ < 6);
+    }
+    if (const auto Append = firstEffect<AppendToLog>())
+      completeAppend(*Append);
+  }
+  EXPECT_GT(State_.Lease_.HeldUntil_, Now_);
+  EXPECT_FALSE(Reduced);
+}
+
 TEST_F(FleetTest, process_withoutTheLease_ordersNothing) {
   for (int I = 0; I < 200; ++I) {
     CallRequest R = makeRequest("/question/1");
