--- a/src/quota.cpp
+++ b/src/quota.cpp
@@ -25,9 +25,11 @@
 // the rates of its own.
 constexpr Millis NewProcessPeriod = 5000; // ms
 // Parts of the bound's excess over a quota that may be used in advance: by all
-// processes together, and where an account's units are collected.
+// processes together, and by an account's home process.
 constexpr double SharedAdvanceFraction = 0.3;
-constexpr double CollectorAdvanceFraction = 0.15;
+constexpr double HomeAdvanceFraction = 0.15;
+// Fill of a whole bucket that admits a request of more units than it holds.
+constexpr double NearlyFullFraction = 0.9;
 constexpr Millis MaxQuotaRetryAfter = 5000; // ms
 constexpr Millis MinQuotaRetryAfter = 100;  // ms
 
@@ -137,10 +139,12 @@
   if (Divisible) {
     Granted = std::clamp(Q.AvailableUnits_, 0.0, Units);
   } else {
-    const double Advance = CollectorAdvanceFraction * allowedExcess(S, A) *
-                           inflowFraction(S, Q, A);
+    const double Advance =
+        HomeAdvanceFraction * allowedExcess(S, A) * inflowFraction(S, Q, A);
     Q.LargestUnits_ = std::max(Q.LargestUnits_, Units);
-    if (Q.AvailableUnits_ + Advance >= requiredUnits(Q, Units, Advance))
+    const double Required = std::min(requiredUnits(Q, Units, Advance),
+                                     fullCapacity(A) * NearlyFullFraction);
+    if (Q.AvailableUnits_ + Advance >= Required)
       Granted = Units;
   }
   Q.AvailableUnits_ -= Granted;
--- a/src/quotaexchange.cpp
+++ b/src/quotaexchange.cpp
@@ -25,22 +25,21 @@
 constexpr Millis RepaymentPeriod = 250; // ms between requests for an advance
 // An aggregator whose summaries are older is not asked; it covers three of
 // them.
-constexpr Millis MaxCollectorSilence = 800; // ms
+constexpr Millis MaxHomeSilence = 800;      // ms
 constexpr Millis RequestTimeout = 300;      // ms without an answer
 constexpr Millis UnresponsivePeriod = 1000; // ms in which a peer is not asked
 constexpr int MaxRequestsPerCall = 2;
-// A request passes the aggregator and the collector; a further hop means that
-// they disagree on who collects.
+// A request passes the aggregator and the account's home; a further hop means
+// that they disagree on the home.
 constexpr std::int64_t MaxHops = 2;
 // Time for which further requests of at least the same size are refused without
 // asking again.
-constexpr Millis RefusalPeriod = 100;          // ms
-constexpr std::uint64_t CollectorRankSeed = 7; // hash seed for the choice
+constexpr Millis RefusalPeriod = 100;     // ms
+constexpr std::uint64_t HomeRankSeed = 7; // hash seed for the choice
 
-std::uint64_t collectorRank(const std::string &Account,
-                            const std::string &Process) {
+std::uint64_t homeRank(const std::string &Account, const std::string &Process) {
   const std::string Input = Account + "/" + Process;
-  return XXH3_64bits_withSeed(Input.data(), Input.size(), CollectorRankSeed);
+  return XXH3_64bits_withSeed(Input.data(), Input.size(), HomeRankSeed);
 }
 
 bool isResponsive(const State &S, const std::string &Peer) {
@@ -49,10 +48,10 @@
 }
 
 /// @return true if a peer is an aggregator that has recently been heard from
-bool mayCollect(const State &S, const PeerState &Peer) {
+bool mayBeHome(const State &S, const PeerState &Peer) {
   return Peer.Summary_.Scope_ == SummaryScope::Group &&
          Peer.SummaryReceivedAt_ >= 0 &&
-         S.Now_ - Peer.SummaryReceivedAt_ <= MaxCollectorSilence &&
+         S.Now_ - Peer.SummaryReceivedAt_ <= MaxHomeSilence &&
          !Peer.Row_.Draining_;
 }
 
@@ -92,9 +91,9 @@
   QuotaState &Q = refilledQuota(S, *A);
   const std::string Next =
       Row.Hops_ < MaxHops ? quotaPeer(S, Row.Account_) : std::string();
-  const bool IsCollector = Next.empty() || Next == From;
+  const bool IsHome = Next.empty() || Next == From;
   const bool Covered = Q.AvailableUnits_ >= Row.Units_;
-  if (!IsCollector && !Covered) {
+  if (!IsHome && !Covered) {
     ++Row.Hops_;
     S.Quotas_.Outbox_[Next].Requests_.push_back(std::move(Row));
     return;
@@ -112,7 +111,7 @@
   const Account *A = limitedAccount(S, Row.Account_);
   if (A != nullptr) {
     QuotaState &Q = refilledQuota(S, *A);
-    // These units are no inflow: the collector has counted them.
+    // These units are no inflow: the sender has counted them.
     Q.AvailableUnits_ += Row.Units_;
     if (Row.Units_ <= 0 && Row.Call_ != 0)
       Q.RefusedUntil_ = S.Now_ + RefusalPeriod;
@@ -191,19 +190,19 @@
     const std::string &Aggregator = S.Membership_.Aggregator_;
     return isResponsive(S, Aggregator) ? Aggregator : std::string();
   }
-  std::string Collector;
+  std::string Home;
   std::uint64_t Highest =
-      S.Stage_ == Stage::Draining ? 0 : collectorRank(Account, S.Self_.Name_);
+      S.Stage_ == Stage::Draining ? 0 : homeRank(Account, S.Self_.Name_);
   for (const auto &[Name, Peer] : S.Membership_.Peers_) {
-    if (!mayCollect(S, Peer) || !isResponsive(S, Name))
+    if (!mayBeHome(S, Peer) || !isResponsive(S, Name))
       continue;
-    const std::uint64_t Rank = collectorRank(Account, Name);
+    const std::uint64_t Rank = homeRank(Account, Name);
     if (Rank <= Highest)
       continue;
     Highest = Rank;
-    Collector = Name;
+    Home = Name;
   }
-  return Collector;
+  return Home;
 }
 
 void requestCallUnits(State &S, Call &C) {
--- a/src/quotaexchange.h
+++ b/src/quotaexchange.h
@@ -1,8 +1,8 @@
 // Moves units of quotas between processes. Members of a group send the units
 // that they do not need to their aggregator, and aggregators send them to the
-// one among them that collects the account's units, chosen by a hash. A process
-// that lacks units asks the same way. Which process collects is only a matter
-// of efficiency: if processes disagree, units travel further.
+// account's home: the one among them that a hash of the account chooses. A
+// process that lacks units asks the same way. Which process is the home is only
+// a matter of efficiency: if processes disagree, units travel further.
 #pragma once
 
 #include "state.h"
@@ -12,7 +12,7 @@
 namespace endivewharf {
 
 /// Peer that this process sends an account's spare units and asks for units.
-/// @return the peer's name; empty if this process collects them itself, or can
+/// @return the peer's name; empty if this process is the account's home, or can
 ///         reach no other
 std::string quotaPeer(const State &S, const std::string &Account);
 
--- a/tests/quota_test.cpp
+++ b/tests/quota_test.cpp
@@ -39,13 +39,13 @@
   }
 
   /// Makes a peer known to which requests for the account's units go.
-  void knowCollector() {
+  void knowHomePeer() {
     std::string Name = "entry-2";
     for (int I = 3; quotaPeerIsNot(Name); ++I) {
       ASSERT_LT(I, 20);
       Name = "entry-" + std::to_string(I);
     }
-    Collector_ = Name;
+    HomePeer_ = Name;
   }
 
   /// Introduces a peer and expects that it is the account's quota peer.
@@ -81,12 +81,12 @@
     QuotaMessage Message;
     Message.Grants_.push_back({Request.Account_, Units, Request.Call_,
                                Request.OriginHash_, RetryAfter});
-    reduceEvent(PeerReceived{{{Collector_, 9}, Message}});
+    reduceEvent(PeerReceived{{{HomePeer_, 9}, Message}});
   }
 
   QuotaState &buyers() { return State_.Quotas_.Accounts_.at("buyers"); }
 
-  std::string Collector_;
+  std::string HomePeer_;
 };
 
 } // namespace
@@ -100,6 +100,13 @@
   EXPECT_GT(Error.RetryAfter_, 0);
 }
 
+TEST_F(QuotaTest, request_largerThanTheBucket_isAdmittedByAFullOne) {
+  for (int I = 0; I < 100; ++I)
+    advanceTime(50);
+  EXPECT_EQ(admittedTokens(1500, 1), 1500);
+  EXPECT_EQ(admittedTokens(1500, 1), 0);
+}
+
 TEST_F(QuotaTest, account_withoutLimit_isNeverRefused) {
   for (int I = 0; I < 12; ++I) {
     sendRequest("/check/1", "k2");
@@ -109,7 +116,7 @@
 }
 
 TEST_F(QuotaTest, peer_refusesTheUnits_nothingIsAdmittedHere) {
-  knowCollector();
+  knowHomePeer();
   const auto Requests = requestedUnits(5000);
   ASSERT_EQ(Requests.size(), 1U);
   EXPECT_EQ(Requests[0].Units_, 5000);
@@ -123,7 +130,7 @@
 }
 
 TEST_F(QuotaTest, peer_grantsTheUnits_callIsDispatchedAndChargedOnce) {
-  knowCollector();
+  knowHomePeer();
   const double Before = buyers().AvailableUnits_;
   const auto Requests = requestedUnits(5000);
   ASSERT_EQ(Requests.size(), 1U);
@@ -134,7 +141,7 @@
 }
 
 TEST_F(QuotaTest, grant_afterTheCallHasEnded_isGivenBackOnce) {
-  knowCollector();
+  knowHomePeer();
   const auto Requests = requestedUnits(5000);
   ASSERT_EQ(Requests.size(), 1U);
   reduceEvent(CallerDisconnected{NextCallId_ - 1});
@@ -154,7 +161,7 @@
 }
 
 TEST_F(QuotaTest, peer_doesNotAnswer_callIsRefusedSoonAndUnrun) {
-  knowCollector();
+  knowHomePeer();
   ASSERT_EQ(requestedUnits(5000).size(), 1U);
   std::optional<SendError> Refusal;
   for (int I = 0; I < 14 && !Refusal; ++I) {
@@ -167,7 +174,7 @@
 }
 
 TEST_F(QuotaTest, process_new_hasNoPartOfTheRateUntilAllCountIt) {
-  knowCollector();
+  knowHomePeer();
   advanceTime(1000);
   EXPECT_LE(buyers().AvailableUnits_, 0);
 }
@@ -198,14 +205,14 @@
 }
 
 TEST_F(QuotaTest, process_frozenForLong_keepsItsOwnPartOfTheBucketOnly) {
-  knowCollector();
+  knowHomePeer();
   advanceTime(6000);
   advanceTime(250);
   QuotaMessage Deposit;
   Deposit.Deposits_.push_back({"buyers", 900});
   for (int I = 0; I < 20; ++I) {
     advanceTime(50);
-    reduceEvent(PeerReceived{{{Collector_, 9}, Deposit}});
+    reduceEvent(PeerReceived{{{HomePeer_, 9}, Deposit}});
   }
   ASSERT_GT(buyers().AvailableUnits_, 500);
   advanceTime(5000);
