Test: a planned stop begins when all four streams run, not when the fourth does

The test waited for the fourth caller's request only, so under load another caller's could arrive after the stop had begun; that refusal is at once and true, and allowed. The test now waits until each of the four runs and checks the same four answers; a stream that is cut fails it as before.

--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -214,7 +214,9 @@
     Callers.emplace_back([&, I] {
       Answers[I] = sendGet(0, "/stream/1", fmt::format("t{}", I));
     });
-  ASSERT_TRUE(waitUntil([&] { return executionCount("t3") > 0; }, 3000));
+  for (int I = 0; I < 4; ++I)
+    ASSERT_TRUE(waitUntil(
+        [&] { return executionCount(fmt::format("t{}", I)) > 0; }, 3000));
   Children_.at("entry-0")->sendSignal(SIGTERM);
   for (std::thread &Caller : Callers)
     Caller.join();
