--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -31,6 +31,20 @@
          Failure == AttemptFailure::Misdirected;
 }
 
+/// @return IDs of the prompt's parts that other requests may share, for the
+/// log:
+///   all but the last one, separated by commas
+std::string sharedPartIds(const Call &C) {
+  constexpr std::size_t MaxLoggedParts = 8;
+  const auto &Parts = C.Request_.PromptParts_;
+  const std::size_t Count =
+      Parts.empty() ? 0 : std::min(Parts.size() - 1, MaxLoggedParts);
+  std::string Ids;
+  for (std::size_t I = 0; I < Count; ++I)
+    Ids += (I == 0 ? "" : ",") + Parts[I].Id_;
+  return Ids;
+}
+
 /// Puts a call back at the front of its queue, or refuses it if it has failed
 /// too often or the retry budget is exhausted.
 /// @param UsesBudget true if the retry is charged to the retry budget
@@ -203,6 +217,9 @@
              {{"request", C.RequestId_},
               {"upstream", Host.Name_},
               {"failure", std::string(name(E.Failure_))},
+              {"begun", A.FirstTokenAt_ != 0 ? "yes" : "no"},
+              {"parts", sharedPartIds(C)},
+              {"age_ms", std::to_string(S.Now_ - A.StartedAt_)},
               {"detail", E.Detail_}});
   if (E.Leaving_)
     markLeaving(S, Host, "engine", Out);
