--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -66,8 +66,11 @@
     return false;
   const int A = From % DataCentreCount;
   const int B = To % DataCentreCount;
-  return A == B || (IsolatedDataCentres_.count(A) == 0 &&
-                    IsolatedDataCentres_.count(B) == 0);
+  const auto IsCut = [&](int DataCentre) {
+    return IsolatedDataCentres_.count(DataCentre) > 0 ||
+           SeparatedDataCentres_.count(DataCentre) > 0;
+  };
+  return A == B || (!IsCut(A) && !IsCut(B));
 }
 
 void PlatformGroup::scheduleEvent(Millis Delay, int I,
@@ -176,8 +179,11 @@
 }
 
 void PlatformGroup::executeEffect(int I, const Effect &E) {
+  if (EffectObserver_)
+    EffectObserver_(I, E);
   if (const auto *Start = std::get_if<StartAttempt>(&E)) {
-    answerAttempt(I, *Start);
+    if (!AttemptHandler_ || !AttemptHandler_(I, *Start))
+      answerAttempt(I, *Start);
   } else if (const auto *Refusal = std::get_if<SendError>(&E)) {
     const auto Waiting = WaitingTokens_.find(Refusal->RequestId_);
     if (Waiting != WaitingTokens_.end()) {
@@ -279,6 +285,14 @@
   return Started;
 }
 
+CallId PlatformGroup::submitRequest(int I, const CallRequest &R) {
+  if (!Processes_[I].Running_ || Now_ < Processes_[I].FrozenUntil_)
+    return 0;
+  const CallId Id = NextCallId_++;
+  reduceEvent(I, RequestArrived{Id, R});
+  return Id;
+}
+
 int PlatformGroup::leaseHolder() const {
   for (int I = 0; I < size(); ++I) {
     const Process &P = Processes_[I];
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -52,13 +52,30 @@
   bool sendRequest(int I, const std::string &Path, const std::string &Key,
                    std::int64_t PromptTokens);
 
+  /// Sends a request to a process.
+  /// @return the call's ID there; 0 if the process does not run
+  CallId submitRequest(int I, const CallRequest &R);
+
+  /// Applies an event to a process after a delay in ms, unless its incarnation
+  /// has ended by then. A frozen process handles the event when it resumes.
+  void scheduleEvent(Millis Delay, int I, std::function<EventBody()> Body);
+
   State &processState(int I) { return Processes_[I].State_; }
+  /// @return number of the process's incarnation; grows when it is killed
+  std::uint64_t incarnation(int I) const { return Processes_[I].Incarnation_; }
   bool isRunning(int I) const { return Processes_[I].Running_; }
   int size() const { return static_cast<int>(Processes_.size()); }
   /// @return index of a running process that holds the lease, or -1
   int leaseHolder() const;
   static std::string processName(int I) { return "entry-" + std::to_string(I); }
 
+  /// Answers attempts in place of the default; returns false to leave an
+  /// attempt to the default.
+  std::function<bool(int, const StartAttempt &)> AttemptHandler_;
+  /// Is told every effect of a process before it is carried out.
+  std::function<void(int, const Effect &)> EffectObserver_;
+  /// Data centres that reach the store, but no other data centre.
+  std::set<int> SeparatedDataCentres_;
   /// Data centres that can reach neither the store nor other data centres.
   std::set<int> IsolatedDataCentres_;
   std::set<int> ProcessesWithoutStore_;
@@ -97,9 +114,6 @@
   /// Carries out an effect of a process.
   void executeEffect(int I, const Effect &E);
   void sendMessage(int I, const std::string &Peer, const PeerMessage &Message);
-  /// Applies an event to a process after a delay, unless its incarnation has
-  /// ended by then. A frozen process handles the event when it resumes.
-  void scheduleEvent(Millis Delay, int I, std::function<EventBody()> Body);
   /// Runs a callback after one step, unless the process's incarnation has ended
   /// by then.
   void scheduleNextStep(int I, std::function<void()> Callback);
