Prompt parts: pool what broke with them, try suspects one at a time, block what ends upstreams

Change: breaks before the first event are evidence on the parts of the prompt that other requests share. Any answer that begins clears its parts. A part that is not cleared and was at two upstream starts (one, for the second attempt of a request that broke itself) is tried one request at a time over all processes, permitted by an owner that a hash chooses; three broken trials block it: a fact that is gossiped and written to the log, so it holds through restarts and cuts. Parts that cannot be told apart are blocked together, and a prompt with only some of them is tried. Ruled out: counting breaks alone (13 sound parts at three ends or more). A stream that ends within an event, or before its first, now counts as broken. The model's name reaches the reducer, so equal ids of two models differ.

--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -6,6 +6,7 @@
 #include "claims.h"
 #include "diagnostics.h"
 #include "dispatch.h"
+#include "parttrials.h"
 #include "quota.h"
 #include "quotaexchange.h"
 #include "resume.h"
@@ -206,6 +207,7 @@
     return;
   Call &C = Found->second;
   recordLatency(S, "request", C);
+  endTrial(S, C);
   dequeueCall(S, C);
   recordCallEnd(S, C);
   S.Claims_.CallByClaimId_.erase(C.ClaimId_);
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -83,6 +83,28 @@
   F("bad", R.RolledBack_);
   F("reason", R.Reason_);
 }
+template <SameIgnoringConst<PartName> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("key", R.Key_);
+  F("model", R.Model_);
+  F("id", R.Id_);
+}
+template <SameIgnoringConst<PartBreakRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("part", R.Part_);
+  F("upstream", R.UpstreamHash_);
+  F("trial", R.Trial_);
+}
+template <SameIgnoringConst<ClearedPartRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("key", R.Key_);
+}
+template <SameIgnoringConst<BlockedPartsFact> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("parts", R.Parts_);
+  F("upstreams", R.UpstreamHashes_);
+  F("lifted", R.Lifted_);
+}
 template <SameIgnoringConst<ControlSnapshot> T, typename V>
 void visitFields(T &R, V &&F) {
   F("version", R.Version_);
@@ -90,6 +112,7 @@
   F("config", R.ConfigText_);
   F("note_version", R.NoteVersion_);
   F("moves", R.Rollouts_);
+  F("blocked_parts", R.BlockedParts_);
 }
 template <SameIgnoringConst<DigestMessage> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -216,6 +239,32 @@
   F("leaving", R.LeavingFacts_);
   F("bad", R.BadVersionFacts_);
   F("evidence", R.Evidence_);
+  F("part_breaks", R.PartBreaks_);
+  F("cleared_parts", R.ClearedParts_);
+  F("blocked_parts", R.BlockedParts_);
+}
+template <SameIgnoringConst<TrialRequestRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("key", R.Key_);
+  F("call", R.Call_);
+}
+template <SameIgnoringConst<TrialAnswerRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("key", R.Key_);
+  F("call", R.Call_);
+  F("granted", R.Granted_);
+}
+template <SameIgnoringConst<TrialEndRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("part", R.Part_);
+  F("broken", R.Broken_);
+  F("upstream", R.UpstreamHash_);
+}
+template <SameIgnoringConst<PartTrialMessage> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("requests", R.Requests_);
+  F("answers", R.Answers_);
+  F("ends", R.Ends_);
 }
 template <SameIgnoringConst<ControlMessage> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -323,6 +372,10 @@
   F("content_type", R.ContentType_);
   F("body", R.Body_);
 }
+template <SameIgnoringConst<BlockedPartsRecord> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("fact", R.Fact_);
+}
 template <SameIgnoringConst<SnapshotRecord> T, typename V>
 void visitFields(T &R, V &&F) {
   F("epoch", R.Epoch_);
@@ -477,11 +530,11 @@
     "digest",   "facts",        "control",       "control_request",
     "handover", "handover_ack", "find_call",     "found_call",
     "sums",     "usage",        "hosts_request", "hosts",
-    "quota"};
+    "quota",    "part_trial"};
 constexpr std::array RecordNames = {
     "config",  "note",  "lease_acquire", "lease_renew", "share",
     "verdict", "claim", "claim_release", "claim_done",  "snapshot",
-    "join",    "usage", "usage_counts",  "work"};
+    "join",    "usage", "usage_counts",  "work",        "blocked_parts"};
 static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>);
 static_assert(RecordNames.size() == std::variant_size_v<LogRecord>);
 
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -15,6 +15,8 @@
 #include "membership.h"
 #include "operatorlog.h"
 #include "outcomes.h"
+#include "parttrials.h"
+#include "promptparts.h"
 #include "quota.h"
 #include "quotaexchange.h"
 #include "release.h"
@@ -86,6 +88,8 @@
     tickSummaries(S, Out);
     tickQuotas(S, Out);
     tickQuotaExchange(S, Out);
+    tickPromptParts(S, Out);
+    tickPartTrials(S, Out);
     tickUsage(S, Out);
     tickFleet(S, Out);
     tickStalledStreams(S, Out);
@@ -184,6 +188,7 @@
   startLogRequests(S, Out);
   startOperatorLogRead(S, Out);
   flushQuotaMessages(S, Out);
+  flushTrialMessages(S, Out);
   S.Ready_ = S.Stage_ == Stage::Serving;
   return Out;
 }
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "calls.h"
 #include "diagnostics.h"
+#include "parttrials.h"
 #include "release.h"
 #include "router.h"
 #include <algorithm>
@@ -207,7 +208,7 @@
     C.TriedUpstreams_.clear();
     Index = pickUpstream(S, C, Choice.Version_);
   }
-  if (Index < 0)
+  if (Index < 0 || !admitSuspectPrompt(S, C, Out))
     return false;
   if (C.Request_.Kind_ != CallKind::Service)
     countVersionAttempt(S, rolloutKey(C), Choice.NewVersion_);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -8,6 +8,8 @@
 #include "diagnostics.h"
 #include "evidence.h"
 #include "handover.h"
+#include "parttrials.h"
+#include "promptparts.h"
 #include "quotaexchange.h"
 #include "release.h"
 #include "storereaders.h"
@@ -82,6 +84,8 @@
     Sum += hashText(Key, 1);
   for (const auto &[Key, Fact] : S.Release_.BadVersionFacts_)
     Sum += hashText(fmt::format("{}|{}", Key.first, Key.second), 2);
+  for (const auto &[Key, Fact] : S.Parts_.Blocked_)
+    Sum += hashText(fmt::format("{}|{}", Key, Fact.Lifted_), 8);
   return Sum;
 }
 
@@ -166,6 +170,7 @@
     Facts.LeavingFacts_.push_back(Fact);
   for (const auto &[Key, Fact] : S.Release_.BadVersionFacts_)
     Facts.BadVersionFacts_.push_back(Fact);
+  addPartFacts(S, Facts);
   return Facts;
 }
 
@@ -327,6 +332,7 @@
     for (const BadVersionFact &Fact : Facts.BadVersionFacts_)
       rollBackVersion(S_, Fact, Out_);
     mergeEvidence(S_, Facts.Evidence_);
+    mergePartFacts(S_, SenderName_, Facts, Out_);
   }
 
   void operator()(const ControlMessage &Message) const {
@@ -359,6 +365,9 @@
   void operator()(const QuotaMessage &Message) const {
     onQuotaMessage(S_, Sender_, Message, Out_);
   }
+  void operator()(const PartTrialMessage &Message) const {
+    onPartTrialMessage(S_, Sender_, Message, Out_);
+  }
   void operator()(const HostsRequestMessage &) const {
     if (S_.HostsVersion_ != 0)
       Out_.push_back(SendToPeer{SenderName_, hostsMessage(S_)});
--- a/src/messages.h
+++ b/src/messages.h
@@ -57,6 +57,32 @@
   std::string Reason_;
 };
 
+/// A part of prompts of one model.
+struct PartName {
+  std::uint64_t Key_ = 0; ///< Hash of model and ID, by which it is found.
+  std::string Model_;     ///< For people; may be cut.
+  std::string Id_;        ///< For people; may be cut.
+};
+
+/// A request with a part broke before its answer had begun.
+struct PartBreakRow {
+  PartName Part_;
+  std::uint32_t UpstreamHash_ = 0; ///< Hash of the upstream's incarnation.
+  bool Trial_ = false; ///< No other request with the part was under way.
+};
+
+/// A part under which an answer has begun, so it does not end upstreams.
+struct ClearedPartRow {
+  std::uint64_t Key_ = 0;
+};
+
+/// Requests whose prompt has all of these parts end upstreams and are refused.
+struct BlockedPartsFact {
+  std::vector<PartName> Parts_;
+  std::vector<std::uint32_t> UpstreamHashes_; ///< Incarnations that ended.
+  bool Lifted_ = false; ///< An answer has begun under one of the parts since.
+};
+
 // --- Evidence for a release verdict ---
 
 /// Totals over finished attempts. They only grow, so of two the one with the
@@ -115,6 +141,7 @@
   std::string ConfigText_;
   LogOffset NoteVersion_ = NoOffset;
   std::vector<RolloutRow> Rollouts_;
+  std::vector<BlockedPartsFact> BlockedParts_;
 };
 
 /// Heartbeat of an incarnation whose row the receiver already has.
@@ -276,6 +303,36 @@
   std::vector<LeavingFact> LeavingFacts_;
   std::vector<BadVersionFact> BadVersionFacts_;
   std::vector<EvidenceRow> Evidence_;
+  std::vector<PartBreakRow> PartBreaks_;
+  std::vector<ClearedPartRow> ClearedParts_;
+  std::vector<BlockedPartsFact> BlockedParts_;
+};
+
+/// Asks the owner of a suspect part for permission to try a request with it.
+struct TrialRequestRow {
+  std::uint64_t Key_ = 0;
+  CallId Call_ = 0; ///< Call of the sender.
+};
+
+/// Answers a `TrialRequestRow`.
+struct TrialAnswerRow {
+  std::uint64_t Key_ = 0;
+  CallId Call_ = 0;
+  bool Granted_ = false;
+};
+
+/// Ends a trial that was granted.
+struct TrialEndRow {
+  PartName Part_;
+  bool Broken_ = false;            ///< It broke before its answer had begun.
+  std::uint32_t UpstreamHash_ = 0; ///< Where it broke.
+};
+
+/// Lets requests with a suspect part be tried one at a time.
+struct PartTrialMessage {
+  std::vector<TrialRequestRow> Requests_;
+  std::vector<TrialAnswerRow> Answers_;
+  std::vector<TrialEndRow> Ends_;
 };
 
 /// The sender's control state; the higher version prevails.
@@ -332,7 +389,8 @@
     std::variant<DigestMessage, FactsMessage, ControlMessage,
                  ControlRequestMessage, HandoverMessage, HandoverAckMessage,
                  FindCallMessage, FoundCallMessage, SummaryMessage,
-                 UsageMessage, HostsRequestMessage, HostsMessage, QuotaMessage>;
+                 UsageMessage, HostsRequestMessage, HostsMessage, QuotaMessage,
+                 PartTrialMessage>;
 
 /// A message with its sender.
 struct PeerEnvelope {
@@ -463,11 +521,18 @@
   std::vector<WorkRow> Rows_;
 };
 
+/// Makes a block durable. It needs no lease, because it only restricts; one
+/// with `Lifted_` replaces it.
+struct BlockedPartsRecord {
+  BlockedPartsFact Fact_;
+};
+
 using LogRecord =
     std::variant<ConfigRecord, ReleaseNoteRecord, LeaseAcquireRecord,
                  LeaseRenewRecord, ShareRecord, VerdictRecord, ClaimRecord,
                  ClaimReleaseRecord, ClaimDoneRecord, SnapshotRecord,
-                 JoinRecord, UsageRecord, UsageCountsRecord, WorkRecord>;
+                 JoinRecord, UsageRecord, UsageCountsRecord, WorkRecord,
+                 BlockedPartsRecord>;
 
 /// A record with its offset; empty if it could not be decoded.
 struct LogEntry {
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -8,6 +8,7 @@
 #include "claims.h"
 #include "diagnostics.h"
 #include "dispatch.h"
+#include "promptparts.h"
 #include "release.h"
 #include "resume.h"
 #include "routed.h"
@@ -146,6 +147,7 @@
     const double FirstTokenMs = static_cast<double>(S.Now_ - A.StartedAt_);
     U.FirstTokenMs_ += MovingAverageWeight * (FirstTokenMs - U.FirstTokenMs_);
     U.PrefillMs_ = std::max(0.0, U.PrefillMs_ - A.PrefillMs_);
+    recordAnswerBegun(S, C, Out);
   }
   if (IsRouted) {
     sendRoutedEvent(S, C, E, Out);
@@ -224,7 +226,9 @@
   if (E.Leaving_)
     markLeaving(S, Host, "engine", Out);
   if (C.Request_.Kind_ == CallKind::Routed) {
-    recordVersionOutcome(S, A, C, !isNotRunFailure(E.Failure_), Out);
+    // A break that a suspect part explains says nothing about the version.
+    if (!recordPartBreak(S, C, A, E.Failure_, Out))
+      recordVersionOutcome(S, A, C, !isNotRunFailure(E.Failure_), Out);
     retryRoutedCall(S, C, A, E, Out);
   } else if (C.Request_.Kind_ == CallKind::Completion) {
     recordVersionOutcome(S, A, C,
@@ -259,6 +263,7 @@
   recordAttemptSuccess(S, Removed->Attempt_.Upstream_);
   Call &C = *Removed->Call_;
   if (C.Request_.Kind_ == CallKind::Routed) {
+    recordAnswerBegun(S, C, Out);
     recordVersionOutcome(S, Removed->Attempt_, C, E.Status_ >= 500, Out);
     onRoutedAnswer(S, C, Removed->Attempt_, E, Out);
     dispatchQueuedCalls(S, Out);
--- /dev/null
+++ b/src/parttrials.h
@@ -0,0 +1,36 @@
+// Lets requests with a suspect part be tried one at a time over all processes.
+// A part's owner, chosen by a hash among the live processes, permits the
+// trials. Processes that disagree on the owner may permit one trial each.
+#pragma once
+
+#include "state.h"
+
+namespace endivewharf {
+
+/// Checks a call for which an upstream has room. A call with a suspect part
+/// waits for a trial; one with a blocked part, or whose trial is denied, is
+/// refused and removed.
+/// @return true if the call may be sent now; if not, it may be gone
+bool admitSuspectPrompt(State &S, Call &C, Effects &Out);
+
+/// Ends the trial of a call, if it has one, without a result.
+void endTrial(State &S, Call &C);
+
+/// Ends the trial of a call that broke before its answer had begun.
+/// @param Part the part on trial
+/// @param UpstreamHash where it broke
+void endBrokenTrial(State &S, Call &C, const PartName &Part,
+                    std::uint32_t UpstreamHash);
+
+/// Handles requests for trials, answers and results of a peer.
+void onPartTrialMessage(State &S, const InstanceId &From,
+                        const PartTrialMessage &Message, Effects &Out);
+
+/// Asks other processes for trials that were not answered and forgets trials
+/// without a result.
+void tickPartTrials(State &S, Effects &Out);
+
+/// Sends the rows that have been collected for each peer.
+void flushTrialMessages(State &S, Effects &Out);
+
+} // namespace endivewharf
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -6,6 +6,7 @@
 #include "diagnostics.h"
 #include "dispatch.h"
 #include "fleet.h"
+#include "promptparts.h"
 #include "quota.h"
 #include "router.h"
 #include "upstreams.h"
@@ -65,6 +66,7 @@
     TokenCount += Part.Tokens_;
     C.PrefixTokens_.push_back(TokenCount);
   }
+  C.SharedPartKeys_ = sharedPartKeys(C.Request_);
 }
 
 /// Sets the fields that the route determines. Calls of the service's
@@ -198,6 +200,8 @@
     C.Account_ = CallerAccount->Name_;
   }
   fillFromRoute(S, C, *Route);
+  if (auto Error = checkBlockedParts(S, C))
+    return Error;
   countWork(S, C);
   if (isStopTooNear(S, C))
     return CallError{ErrorKind::Draining, RunState::NotRun,
--- a/src/state.h
+++ b/src/state.h
@@ -7,12 +7,14 @@
 #include "event.h"
 #include "peerstate.h"
 
+#include <array>
 #include <deque>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <unordered_set>
 #include <vector>
 
 namespace endivewharf {
@@ -96,7 +98,8 @@
   AwaitingOutcome, ///< Waits for the outcome of another call with the same key.
   Locating,        ///< Waits for a peer to send the call's record.
   HandingOver,     ///< Stopped until a peer acknowledges the record.
-  AwaitingQuota    ///< Waits for units of its account's quota from a peer.
+  AwaitingQuota,   ///< Waits for units of its account's quota from a peer.
+  AwaitingTrial    ///< Waits for permission to try a suspect part.
 };
 
 /// One caller's request from acceptance to the answer.
@@ -163,6 +166,15 @@
   bool UsageCounted_ = false;   ///< Counted in the account's usage.
   /// Tokens of the prompt up to the end of each block.
   std::vector<std::int64_t> PrefixTokens_;
+  /// Keys of the prompt's parts that other requests may share: all but the
+  /// last.
+  std::vector<std::uint64_t> SharedPartKeys_;
+  bool BrokenBeforeAnswer_ =
+      false;                    ///< An attempt broke before its first event.
+  std::uint64_t TrialPart_ = 0; ///< Suspect part that it may try; 0: none.
+  std::string TrialOwner_;      ///< Process that was asked for the trial.
+  Millis TrialAskedAt_ = 0;     ///< When it was asked.
+  int TrialRequests_ = 0;       ///< How often processes were asked.
   /// Status of the first upstream's answer, until the stream's head is sent.
   int AnswerStatus_ = 0;
   /// Headers of the first upstream's answer, until the stream's head is sent.
@@ -431,6 +443,43 @@
   bool ClockOffsetKnown_ = false;
 };
 
+// --- Parts of prompts ---
+
+/// A part that was in requests that broke before their answer had begun.
+struct SuspectPart {
+  PartName Name_;
+  /// Whether the break was that of a trial, by hash of the upstream's
+  /// incarnation.
+  std::map<std::uint32_t, bool> Breaks_;
+  Millis LastBreakAt_ = 0;
+};
+
+/// A trial of a suspect part that this process has permitted as its owner.
+struct PartTrial {
+  InstanceId Origin_;
+  CallId Call_ = 0;
+  Millis StartedAt_ = 0;
+};
+
+/// What is known about parts of prompts that may end upstreams.
+struct PromptPartState {
+  /// Keys of parts under which an answer has begun, in two generations: a full
+  /// one replaces the older.
+  std::array<std::unordered_set<std::uint64_t>, 2> Cleared_;
+  std::map<std::uint64_t, SuspectPart> Suspects_; ///< By key.
+  /// By hash of the keys of all parts of the fact.
+  std::map<std::uint64_t, BlockedPartsFact> Blocked_;
+  /// Trials under way of the parts that this process owns, by key.
+  std::map<std::uint64_t, PartTrial> Trials_;
+  FactsMessage FactsOutbox_; ///< New facts to gossip.
+  std::map<std::string, PartTrialMessage> TrialOutbox_; ///< By peer.
+  /// Peers that have left a trial request unanswered, and until when they are
+  /// not asked.
+  std::map<std::string, Millis> UnresponsiveUntil_;
+  /// Versions of the listed hosts, by service.
+  std::map<std::string, std::set<std::string>> ServedVersions_;
+};
+
 // --- Hosts of services ---
 
 /// Work that a service's requests need, in ms of host time per second.
@@ -537,6 +586,7 @@
   QuotaTable Quotas_;
   FleetState Fleet_;
   UsageState Usage_;
+  PromptPartState Parts_;
   LogState Log_;
   OperatorLogState OperatorLog_;
   ConfigState Config_;
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -34,6 +34,8 @@
     ErrorRow{ErrorKind::IdempotencyKeyExpired, "idempotency_key_expired", 409},
     ErrorRow{ErrorKind::LogUnavailable, "log_unavailable", 503},
     ErrorRow{ErrorKind::NotFound, "not_found", 404},
+    ErrorRow{ErrorKind::PartBlocked, "part_blocked", 503},
+    ErrorRow{ErrorKind::PartOnTrial, "part_on_trial", 503},
 };
 
 const ErrorRow &errorRow(ErrorKind Kind) {
--- a/src/types.h
+++ b/src/types.h
@@ -75,6 +75,8 @@
   IdempotencyKeyExpired,
   LogUnavailable,
   NotFound,
+  PartBlocked, ///< The prompt has a part that ends upstreams.
+  PartOnTrial, ///< Another request with a suspect part is tried first.
 };
 
 /// Reason for which an attempt ended without a complete answer.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -5,6 +5,7 @@
 #include "aggregators.h"
 #include "diagnostics.h"
 #include "membership.h"
+#include "promptparts.h"
 #include "router.h"
 
 #include <algorithm>
@@ -169,6 +170,7 @@
   for (std::size_t I = 0; I < WasListed.size(); ++I)
     S.PoolsChanged_ =
         S.PoolsChanged_ || S.Upstreams_[I].Listed_ != WasListed[I];
+  forgetClearedUnderOldVersions(S, Hosts);
   S.HostsVersion_ = Version;
   S.HostsBehindSince_ = 0;
 }
