Prompt parts: trials are counted one by one; tests of memory, of two parts, of answers that end with their connection

A trial that broke at an upstream where one had broken before was not counted, because a restarted upstream of the same name is known by its old incarnation until the host list says otherwise: with real processes and two servers seven requests ended servers where four should. Each trial now has a number; a block needs three of them and two incarnations.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -93,7 +93,7 @@
 void visitFields(T &R, V &&F) {
   F("part", R.Part_);
   F("upstream", R.UpstreamHash_);
-  F("trial", R.Trial_);
+  F("trial", R.TrialId_);
 }
 template <SameIgnoringConst<ClearedPartRow> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -259,6 +259,7 @@
   F("part", R.Part_);
   F("broken", R.Broken_);
   F("upstream", R.UpstreamHash_);
+  F("trial", R.TrialId_);
 }
 template <SameIgnoringConst<PartTrialMessage> T, typename V>
 void visitFields(T &R, V &&F) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -68,7 +68,9 @@
 struct PartBreakRow {
   PartName Part_;
   std::uint32_t UpstreamHash_ = 0; ///< Hash of the upstream's incarnation.
-  bool Trial_ = false; ///< No other request with the part was under way.
+  /// Number of the trial that broke, unique over all processes but for chance;
+  /// 0: it was no trial, so other requests with the part were under way.
+  std::uint32_t TrialId_ = 0;
 };
 
 /// A part under which an answer has begun, so it does not end upstreams.
@@ -326,6 +328,7 @@
   PartName Part_;
   bool Broken_ = false;            ///< It broke before its answer had begun.
   std::uint32_t UpstreamHash_ = 0; ///< Where it broke.
+  std::uint32_t TrialId_ = 0;      ///< As in `PartBreakRow`.
 };
 
 /// Lets requests with a suspect part be tried one at a time.
--- a/src/parttrials.cpp
+++ b/src/parttrials.cpp
@@ -122,7 +122,7 @@
   if (C == nullptr || C->Phase_ != CallPhase::AwaitingTrial ||
       C->TrialOwner_ != From.Name_) {
     if (Row.Granted_)
-      sendEnd(S, From.Name_, {{Row.Key_, "", ""}, false, 0});
+      sendEnd(S, From.Name_, {{Row.Key_, "", ""}, false, 0, 0});
     return;
   }
   if (Row.Granted_) {
@@ -170,13 +170,13 @@
   if (C.TrialPart_ == 0)
     return;
   sendEnd(S, C.TrialOwner_,
-          {{std::exchange(C.TrialPart_, 0), "", ""}, false, 0});
+          {{std::exchange(C.TrialPart_, 0), "", ""}, false, 0, 0});
 }
 
 void endBrokenTrial(State &S, Call &C, const PartName &Part,
-                    std::uint32_t UpstreamHash) {
+                    std::uint32_t UpstreamHash, std::uint32_t TrialId) {
   C.TrialPart_ = 0;
-  sendEnd(S, C.TrialOwner_, {Part, true, UpstreamHash});
+  sendEnd(S, C.TrialOwner_, {Part, true, UpstreamHash, TrialId});
 }
 
 void onPartTrialMessage(State &S, const InstanceId &From,
@@ -187,7 +187,7 @@
     if (Running != S.Parts_.Trials_.end() && Running->second.Origin_ == From)
       S.Parts_.Trials_.erase(Running);
     if (Row.Broken_)
-      mergePartBreak(S, {Row.Part_, Row.UpstreamHash_, true}, Out);
+      mergePartBreak(S, {Row.Part_, Row.UpstreamHash_, Row.TrialId_}, Out);
   }
   for (const TrialRequestRow &Row : Message.Requests_)
     S.Parts_.TrialOutbox_[From.Name_].Answers_.push_back(
--- a/src/parttrials.h
+++ b/src/parttrials.h
@@ -19,8 +19,9 @@
 /// Ends the trial of a call that broke before its answer had begun.
 /// @param Part the part on trial
 /// @param UpstreamHash where it broke
+/// @param TrialId number of the trial
 void endBrokenTrial(State &S, Call &C, const PartName &Part,
-                    std::uint32_t UpstreamHash);
+                    std::uint32_t UpstreamHash, std::uint32_t TrialId);
 
 /// Handles requests for trials, answers and results of a peer.
 void onPartTrialMessage(State &S, const InstanceId &From,
--- a/src/promptparts.cpp
+++ b/src/promptparts.cpp
@@ -112,9 +112,10 @@
 }
 
 int trialBreaks(const SuspectPart &Suspect) {
-  return static_cast<int>(
-      std::count_if(Suspect.Breaks_.begin(), Suspect.Breaks_.end(),
-                    [](const auto &Break) { return Break.second; }));
+  std::size_t Count = 0;
+  for (const auto &[Upstream, TrialIds] : Suspect.Breaks_)
+    Count += TrialIds.size();
+  return static_cast<int>(Count);
 }
 
 /// Makes room for a new suspect by dropping the one with the fewest breaks, the
@@ -216,10 +217,11 @@
   for (const std::uint64_t Key : Keys) {
     const auto Found = S.Parts_.Suspects_.find(Key);
     if (Found == S.Parts_.Suspects_.end() || isBlockedAlone(S, Key) ||
+        Found->second.Breaks_.size() < SuspectBreaks ||
         trialBreaks(Found->second) < TrialBreaksToBlock)
       continue;
     Fact.Parts_.push_back(Found->second.Name_);
-    for (const auto &[Upstream, Trial] : Found->second.Breaks_)
+    for (const auto &[Upstream, TrialIds] : Found->second.Breaks_)
       Ended.insert(Upstream);
   }
   if (Fact.Parts_.empty())
@@ -274,15 +276,29 @@
   }
 }
 
+void addBreakRows(const SuspectPart &Suspect, FactsMessage &Facts) {
+  for (const auto &[Upstream, TrialIds] : Suspect.Breaks_) {
+    if (TrialIds.empty())
+      Facts.PartBreaks_.push_back({Suspect.Name_, Upstream, 0});
+    for (const std::uint32_t TrialId : TrialIds)
+      Facts.PartBreaks_.push_back({Suspect.Name_, Upstream, TrialId});
+  }
+}
+
 /// Tells the owner of a call's trial that it broke.
-void endTrialOf(State &S, Call &C, std::uint32_t Upstream) {
+void endTrialOf(State &S, Call &C, std::uint32_t Upstream,
+                std::uint32_t TrialId) {
   const auto Found = std::find(C.SharedPartKeys_.begin(),
                                C.SharedPartKeys_.end(), C.TrialPart_);
   if (Found == C.SharedPartKeys_.end())
     return;
   const auto Index =
       static_cast<std::size_t>(Found - C.SharedPartKeys_.begin());
-  endBrokenTrial(S, C, partName(C.Request_, Index), Upstream);
+  endBrokenTrial(S, C, partName(C.Request_, Index), Upstream, TrialId);
+}
+
+std::uint32_t newTrialId(State &S) {
+  return std::max<std::uint32_t>(1, static_cast<std::uint32_t>(nextRandom(S)));
 }
 
 } // namespace
@@ -358,17 +374,21 @@
   if (Suspects.count(Key) == 0 && Suspects.size() >= MaxSuspects)
     evictSuspect(S);
   SuspectPart &Suspect = Suspects[Key];
-  const auto Known = Suspect.Breaks_.find(Row.UpstreamHash_);
-  if (Known != Suspect.Breaks_.end() && (Known->second || !Row.Trial_))
+  const bool NewUpstream = Suspect.Breaks_.count(Row.UpstreamHash_) == 0;
+  const bool Full =
+      Suspect.Breaks_.size() >= MaxBreaksPerSuspect ||
+      trialBreaks(Suspect) >= static_cast<int>(MaxBreaksPerSuspect);
+  if (Full || (!NewUpstream && Row.TrialId_ == 0))
     return false;
-  if (Known == Suspect.Breaks_.end() &&
-      Suspect.Breaks_.size() >= MaxBreaksPerSuspect && !Row.Trial_)
+  std::set<std::uint32_t> &TrialIds = Suspect.Breaks_[Row.UpstreamHash_];
+  if (Row.TrialId_ != 0 && !TrialIds.insert(Row.TrialId_).second)
     return false;
   Suspect.Name_ = Row.Part_;
-  Suspect.Breaks_[Row.UpstreamHash_] = Row.Trial_;
   Suspect.LastBreakAt_ = S.Now_;
   S.Parts_.FactsOutbox_.PartBreaks_.push_back(Row);
-  if (Suspect.Breaks_.size() == SuspectBreaks || Row.Trial_)
+  const bool News =
+      Row.TrialId_ != 0 || Suspect.Breaks_.size() == SuspectBreaks;
+  if (News && !isInBlock(S, Key))
     logWarning(Out, "part_suspected",
                {{"part", Row.Part_.Id_},
                 {"model", Row.Part_.Model_},
@@ -379,24 +399,24 @@
 
 bool recordPartBreak(State &S, Call &C, const Attempt &A,
                      AttemptFailure Failure, Effects &Out) {
-  const bool Trial = C.TrialPart_ != 0;
   if (Failure != AttemptFailure::ConnectionBroken || A.FirstTokenAt_ != 0 ||
       C.SharedPartKeys_.empty())
     return false;
   C.BrokenBeforeAnswer_ = true;
   const std::uint32_t Upstream =
       instanceHash(S.Upstreams_[A.Upstream_].Row_.Host_);
+  const std::uint32_t TrialId = C.TrialPart_ == 0 ? 0 : newTrialId(S);
   bool Suspected = findBlock(S, C) != nullptr;
   for (std::size_t I = 0; I < C.SharedPartKeys_.size(); ++I) {
     const std::uint64_t Key = C.SharedPartKeys_[I];
-    mergePartBreak(S, {partName(C.Request_, I), Upstream, Trial}, Out);
+    mergePartBreak(S, {partName(C.Request_, I), Upstream, TrialId}, Out);
     const auto Found = S.Parts_.Suspects_.find(Key);
     Suspected = Suspected || (Found != S.Parts_.Suspects_.end() &&
                               Found->second.Breaks_.size() >= SuspectBreaks);
   }
-  if (Trial) {
+  if (TrialId != 0) {
     blockIfProved(S, C.SharedPartKeys_, C.Id_, Out);
-    endTrialOf(S, C, Upstream);
+    endTrialOf(S, C, Upstream, TrialId);
   }
   return Suspected;
 }
@@ -427,8 +447,7 @@
     Facts.BlockedParts_.push_back(Fact);
   for (const auto &[Key, Suspect] : S.Parts_.Suspects_)
     if (Suspect.Breaks_.size() >= SuspectBreaks)
-      for (const auto &[Upstream, Trial] : Suspect.Breaks_)
-        Facts.PartBreaks_.push_back({Suspect.Name_, Upstream, Trial});
+      addBreakRows(Suspect, Facts);
 }
 
 void forgetClearedUnderOldVersions(State &S, std::span<const HostRow> Hosts) {
--- a/src/state.h
+++ b/src/state.h
@@ -448,9 +448,9 @@
 /// A part that was in requests that broke before their answer had begun.
 struct SuspectPart {
   PartName Name_;
-  /// Whether the break was that of a trial, by hash of the upstream's
-  /// incarnation.
-  std::map<std::uint32_t, bool> Breaks_;
+  /// Numbers of the trials that broke, by hash of the upstream's incarnation;
+  /// none if other requests broke there.
+  std::map<std::uint32_t, std::set<std::uint32_t>> Breaks_;
   Millis LastBreakAt_ = 0;
 };
 
--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -2,7 +2,9 @@
 // refuses requests that expect another server, and counts what it ran. POST
 // /control sets faults: refuse requests, ask callers to wait before a retry,
 // announce that the server leaves, abort streams after some events, abort
-// connections instead of answering, and send an endless body.
+// connections instead of answering, send an endless body, break off each stream
+// whose prompt has a certain part before its first event, and name
+// a limit in each answer.
 #include "web.h"
 
 #include <set>
@@ -28,7 +30,8 @@
       applyControl(parseJsonBody(R));
       Reply->sendJson(200, {{"runs", ExecutionCounts_},
                             {"seen", LastRequestById_},
-                            {"refused", RefusalCount_}});
+                            {"refused", RefusalCount_},
+                            {"ended", EndCount_}});
       return;
     }
     const std::string Id = headerValue(R, "request-id");
@@ -47,6 +50,8 @@
     Reply->addHeader("Request-Id", Id);
     if (Leaving_)
       Reply->addHeader("Server-Leaving", "1");
+    if (!NamedLimit_.empty())
+      Reply->addHeader("Server-Limit", NamedLimit_);
     if (RefuseRequests_) {
       ++RefusalCount_;
       Reply->addHeader("Not-Executed", "1");
@@ -62,7 +67,16 @@
                             {"body", R.Body_}};
     Reply->addHeader("Server-Seal", "seal-" + Options_.ServerName_);
     const std::string LastEventId = headerValue(R, "last-event-id");
-    if (R.Path_.rfind("/stream/", 0) == 0)
+    const bool IsStream = R.Path_.rfind("/stream/", 0) == 0;
+    if (IsStream && !DeadlyPart_.empty() &&
+        headerValue(R, "prompt-prefix").find(DeadlyPart_) !=
+            std::string::npos) {
+      ++EndCount_;
+      Reply->beginStream("text/event-stream", [] {});
+      Reply->abortConnection();
+      return;
+    }
+    if (IsStream)
       startEventStream(LastEventId.empty() ? 1 : std::stoll(LastEventId) + 1,
                        Reply);
     else if (RepliesToLose_ > 0 && RepliesToLose_-- > 0)
@@ -89,6 +103,8 @@
     Leaving_ = Body.value("leaving", Leaving_);
     RefusalRetryAfter_ = Body.value("pause", RefusalRetryAfter_);
     EndlessBody_ = Body.value("endless_body", EndlessBody_);
+    DeadlyPart_ = Body.value("deadly_part", DeadlyPart_);
+    NamedLimit_ = Body.value("limit", NamedLimit_);
   }
 
   void startEventStream(std::int64_t FirstIndex, const WebReplyPtr &Reply) {
@@ -124,6 +140,9 @@
   /// Retry-After of refusals in seconds; empty: not sent.
   std::string RefusalRetryAfter_;
   bool EndlessBody_ = false;
+  std::string DeadlyPart_; ///< Part that breaks streams off; empty: none.
+  int EndCount_ = 0;       ///< Streams broken off because of that part.
+  std::string NamedLimit_; ///< Requests per second; empty: not named.
   int RepliesToLose_ = 0;
   /// Number of events after which a stream is aborted; below 0: never.
   std::int64_t AbortAfterEvents_ = -1;
--- a/tests/deadly_part_test.cpp
+++ b/tests/deadly_part_test.cpp
@@ -188,6 +188,21 @@
   expectBoundKept();
 }
 
+TEST_P(DeadlyPartSizeTest, part_aSecondOneAtTheSameTime_boundIsKeptForBoth) {
+  startGroup(GetParam());
+  Engines_->DeadlyParts_ = {"deadly-0", "deadly-1"};
+  for (int I = 0; I < 440; ++I) {
+    DeadlyPart_ = "deadly-" + std::to_string(I % 2);
+    run(PlatformGroup::StepDuration, 2 * DeadlyFraction);
+  }
+  for (const char *Part : {"deadly-0", "deadly-1"}) {
+    const Millis Fifth = Engines_->endAt(Part, EndsBeforeBound);
+    if (Fifth >= 0)
+      EXPECT_LE(Engines_->arrivalsWith(Part, Fifth + Contact_),
+                MaxLateArrivals);
+  }
+}
+
 TEST_P(DeadlyPartSizeTest, part_messagesAreLost_boundIsKept) {
   startGroup(GetParam());
   Engines_->DeadlyParts_ = {DeadlyPart_};
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -26,6 +26,15 @@
     Options.EntryCount_ = EntryCount;
     ASSERT_TRUE(startAll(Options)) << "logs are in " << Folder_;
   }
+
+  /// Sends a request for a stream with a prompt in parts.
+  HttpAnswer sendPrompt(int Entry, const std::string &Id,
+                        const std::string &Parts) const {
+    std::vector<std::string> Headers = requestHeaders(Id, "k1");
+    Headers.push_back("Prompt-Prefix: " + Parts);
+    Headers.emplace_back("Model: m");
+    return sendHttpRequest("GET", callerUrl(Entry, "/stream/1"), "", Headers);
+  }
 };
 
 } // namespace
@@ -51,6 +60,40 @@
   EXPECT_EQ(executionCount("st"), 2);
 }
 
+TEST_F(PlatformProcessTest, prompt_partEndsServers_isRefusedAsNotRunSoon) {
+  for (const int Port : ServerPorts_)
+    sendControl(Port, {{"deadly_part", "deadbeef"}});
+  int Starts = 1;
+  HttpAnswer Last;
+  const auto EndCount = [&] {
+    int Count = 0;
+    for (int I = 0; I < Options_.ServerCount_; ++I)
+      Count += fetchServerState(I)["ended"].get<int>();
+    return Count;
+  };
+  constexpr Millis ContactTime = 3000;
+  Millis FifthEndAt = 0;
+  int EndsInTime = 0;
+  for (int I = 0; I < 30; ++I) {
+    Last = sendPrompt(I % EntryCount, fmt::format("d{}", I),
+                      fmt::format("aa:9,deadbeef:5,{:x}:3", 4096 + I));
+    // Each server starts again under its name.
+    ++Starts;
+    for (std::size_t J = 0; J < ServerPorts_.size(); ++J)
+      registerServer(J, "ready", Starts);
+    if (FifthEndAt == 0 && EndCount() >= 5)
+      FifthEndAt = monotonicNow();
+    if (FifthEndAt == 0 || monotonicNow() < FifthEndAt + ContactTime)
+      EndsInTime = EndCount();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+  EXPECT_LE(EndCount() - EndsInTime, 3);
+  EXPECT_EQ(Last.Status_, 503);
+  const HttpAnswer Sound = sendPrompt(0, "s1", "aa:9,bb:5,77:3");
+  EXPECT_EQ(Sound.Status_, 200) << Sound.Body_;
+  EXPECT_EQ(Sound.Body_, completeStream());
+}
+
 TEST_F(PlatformProcessTest, booking_answerLost_runsOnceAndPromisesNothing) {
   for (const int Port : ServerPorts_)
     sendControl(Port, {{"lose_answers", 1}});
--- a/tests/simulatedengines.cpp
+++ b/tests/simulatedengines.cpp
@@ -96,6 +96,7 @@
   const auto [Process, Id] = Key;
   if (hasDeadlyPart(Outcomes_[Found->second.Outcome_])) {
     Ends_.push_back(Group_.Now_);
+    EndOutcomes_.push_back(Found->second.Outcome_);
     endEngine(Found->second.Engine_);
     return;
   }
@@ -180,6 +181,16 @@
   }
 }
 
+Millis SimulatedEngines::endAt(const std::string &Part, int Number) const {
+  for (std::size_t I = 0; I < Ends_.size(); ++I) {
+    const auto &Parts = Outcomes_[EndOutcomes_[I]].Parts_;
+    if (std::find(Parts.begin(), Parts.end(), Part) != Parts.end() &&
+        --Number == 0)
+      return Ends_[I];
+  }
+  return -1;
+}
+
 int SimulatedEngines::arrivalsWith(const std::string &Part, Millis From) const {
   return static_cast<int>(
       std::count_if(Arrivals_.begin(), Arrivals_.end(), [&](const Arrival &A) {
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -53,6 +53,9 @@
   const std::vector<PromptOutcome> &outcomes() const { return Outcomes_; }
   /// @return times at which engines ended because of a deadly part
   const std::vector<Millis> &ends() const { return Ends_; }
+  /// @return time of the end with this number, from 1, that a part has caused;
+  ///   -1 if there were fewer
+  Millis endAt(const std::string &Part, int Number) const;
   /// @param Part a deadly part
   /// @param From time from which arrivals count
   /// @return attempts with the part that reached an engine
@@ -98,6 +101,7 @@
   std::map<AttemptKey, RunningAttempt> Attempts_;
   std::vector<Arrival> Arrivals_;
   std::vector<Millis> Ends_;
+  std::vector<int> EndOutcomes_; ///< Prompt that has caused each of `Ends_`.
   double ResetFraction_ = 0;
   std::uint64_t RandomState_ = 20261204;
 };
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -1,5 +1,6 @@
 // Tests of attempts at a server that sends a copy of its answer late, on a
-// connection that is used for further requests.
+// connection that is used for further requests, and at one whose answers have
+// neither length nor chunks and end with their connection.
 #include "platform/upstream.h"
 
 #include <asio/read_until.hpp>
@@ -98,6 +99,84 @@
   std::thread Thread_;
 };
 
+/// Sends the same bytes to each request and closes the connection.
+class ClosingServer {
+public:
+  explicit ClosingServer(std::string Answer)
+      : Answer_(std::move(Answer)),
+        Acceptor_(Io_, {asio::ip::make_address_v4("127.0.0.1"), 0}) {
+    accept();
+    Thread_ = std::thread([this] { Io_.run(); });
+  }
+  ~ClosingServer() {
+    Io_.stop();
+    Thread_.join();
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor_.local_endpoint().port());
+  }
+
+private:
+  void accept() {
+    Acceptor_.async_accept([this](const asio::error_code &Error,
+                                  asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      std::string Head;
+      asio::error_code Ignored;
+      asio::read_until(Socket, asio::dynamic_buffer(Head), "\r\n\r\n", Ignored);
+      asio::write(Socket, asio::buffer(Answer_), Ignored);
+      Socket.shutdown(asio::ip::tcp::socket::shutdown_both, Ignored);
+      accept();
+    });
+  }
+
+  std::string Answer_;
+  asio::io_context Io_{1};
+  asio::ip::tcp::acceptor Acceptor_;
+  std::thread Thread_;
+};
+
+/// Attempts whose answer ends with its connection.
+class ClosedAnswerTest : public ::testing::Test {
+protected:
+  static constexpr const char *Head =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n\r\n";
+
+  /// @return the last event of an attempt that gets this body
+  EventBody lastEvent(const std::string &Body, bool Stream,
+                      std::int64_t ResumeAfter = NoEventIndex) {
+    ClosingServer Server(Head + Body);
+    std::vector<EventBody> Events;
+    HttpClient Client(Io_);
+    UpstreamClient Upstreams(
+        Client, [&](EventBody E) { Events.push_back(std::move(E)); }, 1 << 20);
+    StartAttempt Start;
+    Start.Attempt_ = 1;
+    Start.Kind_ = CallKind::Routed;
+    Start.Address_ = Server.url();
+    Start.RequestId_ = "r1";
+    Start.Method_ = "GET";
+    Start.Path_ = "/";
+    Start.TimeLeft_ = 1000;
+    Start.Stream_ = Stream;
+    Start.ResumeAfter_ = ResumeAfter;
+    Upstreams.start(Start);
+    Io_.run_for(RequestInterval * 3);
+    return Events.empty() ? EventBody(CallerDisconnected{}) : Events.back();
+  }
+
+  static bool isBreak(const EventBody &Body) {
+    const auto *Failed = std::get_if<AttemptFailed>(&Body);
+    return Failed != nullptr &&
+           Failed->Failure_ == AttemptFailure::ConnectionBroken;
+  }
+
+  asio::io_context Io_{1};
+};
+
 class LateCopyTest : public ::testing::TestWithParam<bool> {
 protected:
   /// Sends requests one after the other.
@@ -135,6 +214,29 @@
 
 } // namespace
 
+TEST_F(ClosedAnswerTest, answer_endsWithItsConnection_isWhole) {
+  const EventBody Last = lastEvent("all of it", false);
+  ASSERT_TRUE(std::holds_alternative<ServiceAnswer>(Last));
+  EXPECT_EQ(std::get<ServiceAnswer>(Last).Body_, "all of it");
+}
+
+TEST_F(ClosedAnswerTest, stream_endsAfterAnEvent_isComplete) {
+  EXPECT_TRUE(std::holds_alternative<AttemptEnded>(
+      lastEvent("id: 1\ndata: a\n\n", true)));
+}
+
+TEST_F(ClosedAnswerTest, stream_endsInsideAnEvent_isBroken) {
+  EXPECT_TRUE(isBreak(lastEvent("id: 1\ndata: a\n\nid: 2\ndat", true)));
+}
+
+TEST_F(ClosedAnswerTest, stream_endsBeforeItsFirstEvent_isBroken) {
+  EXPECT_TRUE(isBreak(lastEvent("", true)));
+}
+
+TEST_F(ClosedAnswerTest, resumedStream_hasNothingLeftToSend_isComplete) {
+  EXPECT_TRUE(std::holds_alternative<AttemptEnded>(lastEvent("", true, 7)));
+}
+
 TEST_P(LateCopyTest, nextRequest_onTheConnection_neverGetsTheCopy) {
   int CompleteAnswers = 0;
   for (const EventBody &Body : sendRequests(6)) {
