Upstreams: read the limit that an answer names, and log it

The header was read nowhere, and no log line could show when a process was told of a limit. The notice of an answer carries it now; no decision follows from it yet.

--- a/src/event.h
+++ b/src/event.h
@@ -5,6 +5,7 @@
 #include "messages.h"
 #include "settings.h"
 
+#include <optional>
 #include <string>
 #include <tuple>
 #include <variant>
@@ -95,6 +96,9 @@
   AttemptId Attempt_ = 0;
   bool Leaving_ = false; ///< The upstream takes no new work any more.
   Millis Pause_ = 0;     ///< Time without new requests; 0: not stated.
+  /// Requests per second that it takes from all processes together; nothing: it
+  /// names no limit.
+  std::optional<double> Limit_;
 };
 
 struct AttemptFailed {
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -241,6 +241,10 @@
   Upstream &U = S.Upstreams_[Found->second.Upstream_];
   if (E.Leaving_)
     markLeaving(S, U.Row_.Host_, "answer", Out);
+  if (E.Limit_)
+    logEvent(Out, "upstream_names_limit",
+             {{"upstream", U.Row_.Host_.Name_},
+              {"limit", fmt::format("{}", *E.Limit_)}});
   if (E.Pause_ <= 0)
     return;
   U.PausedUntil_ = std::max(U.PausedUntil_, S.Now_ + E.Pause_);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -39,6 +39,14 @@
     EXPECT_FALSE(decodePauseSeconds(Bad)) << Bad;
 }
 
+TEST(WireTest, requestLimit_decimalOrOtherText_isReadOrRejected) {
+  EXPECT_EQ(decodeRequestLimit("3"), 3.0);
+  EXPECT_EQ(decodeRequestLimit(" 2.6"), 2.6);
+  EXPECT_EQ(decodeRequestLimit("0"), 0.0);
+  for (const char *Bad : {"", "few", "-1", "nan", "inf", "3/s"})
+    EXPECT_FALSE(decodeRequestLimit(Bad)) << Bad;
+}
+
 TEST(WireTest, hostEntry_ofAnotherWriter_isATypedError) {
   for (const auto &[From, To] :
        std::vector<std::pair<std::string, std::string>>{
