--- a/tests/simulatedengines.cpp
+++ b/tests/simulatedengines.cpp
@@ -80,7 +80,8 @@
     return true;
   }
   ++Outcomes_[Known->second].Arrivals_;
-  Arrivals_.push_back({Group_.Now_, Known->second});
+  Arrivals_.push_back({Group_.Now_, Known->second, Process, Found->second,
+                       Engines_[Found->second].StartCount_});
   Attempts_[Key] = {Found->second, Known->second, Group_.incarnation(Process)};
   Group_.scheduleEvent(FirstEventDelay, Process, [this, Key]() -> EventBody {
     beginAnswer(Key);
@@ -106,6 +107,7 @@
     failAttempt(Key, AttemptFailure::ConnectionBroken);
     return;
   }
+  sendNotice(Key, Found->second.Engine_);
   Group_.scheduleEvent(0, Process, [Id = Id] {
     return AttemptHead{Id, 200, {}};
   });
@@ -120,6 +122,89 @@
                        });
 }
 
+void SimulatedEngines::setLimit(int Index, std::optional<double> PerSecond) {
+  Engine &E = Engines_[Index];
+  E.Limit_ = PerSecond;
+  NamedLimits &Named = Limits_[{Index, E.StartCount_}];
+  if (!Named.Changes_.empty() || PerSecond)
+    Named.Changes_.emplace_back(Group_.Now_, PerSecond.value_or(0));
+}
+
+void SimulatedEngines::sendNotice(AttemptKey Key, int Index) {
+  const Engine &E = Engines_[Index];
+  if (E.Limit_) {
+    NamedLimits &Named = Limits_[{Index, E.StartCount_}];
+    if (Named.FirstAt_ == 0)
+      Named.FirstAt_ = Group_.Now_;
+    Named.FirstPassedOn_.emplace(Key.first, Group_.Now_);
+  }
+  Group_.scheduleEvent(0, Key.first, [Id = Key.second, Limit = E.Limit_] {
+    return UpstreamNotice{Id, false, 0, Limit};
+  });
+}
+
+double SimulatedEngines::largestExcess(
+    Millis Contact, const std::function<bool(int, Millis)> &IsExcused) const {
+  constexpr Millis Window = 4000;
+  constexpr Millis PassedOnBefore = 500;
+  constexpr double Factor = 1.5;
+  constexpr double Slack = 5;
+  double Largest = -1e9;
+  for (const auto &[Key, Named] : Limits_) {
+    if (Named.FirstAt_ == 0)
+      continue;
+    std::vector<Millis> Counted;
+    for (const Arrival &A : Arrivals_) {
+      const auto PassedOn = Named.FirstPassedOn_.find(A.Process_);
+      if (std::pair(A.Engine_, A.Start_) == Key &&
+          A.At_ > Named.FirstAt_ + Contact &&
+          PassedOn != Named.FirstPassedOn_.end() &&
+          A.At_ >= PassedOn->second + PassedOnBefore &&
+          !IsExcused(A.Process_, A.At_))
+        Counted.push_back(A.At_);
+    }
+    // The largest limit of a window, and of the contact time before it, counts.
+    const auto LimitIn = [&](Millis From, Millis To) {
+      double Limit = 0;
+      for (std::size_t I = 0; I < Named.Changes_.size(); ++I) {
+        const auto [Since, Value] = Named.Changes_[I];
+        const Millis Until = I + 1 < Named.Changes_.size()
+                                 ? Named.Changes_[I + 1].first
+                                 : To + 1;
+        if (Since <= To && Until > From)
+          Limit = std::max(Limit, Value == 0 ? 1e6 : Value);
+      }
+      return Limit;
+    };
+    for (std::size_t First = 0; First < Counted.size(); ++First) {
+      const Millis End = Counted[First] + Window;
+      const auto Last = std::upper_bound(Counted.begin(), Counted.end(), End);
+      const auto Count = static_cast<double>(
+          Last - Counted.begin() - static_cast<std::ptrdiff_t>(First));
+      Largest = std::max(Largest,
+                         Count - (Factor * (Window / 1000) *
+                                      LimitIn(Counted[First] - Contact, End) +
+                                  Slack));
+    }
+  }
+  return Largest;
+}
+
+Millis SimulatedEngines::longestRefusal(Millis From) const {
+  Millis Longest = 0;
+  for (const PromptOutcome &Outcome : Outcomes_)
+    if (Outcome.Refused_ && Outcome.SentAt_ >= From)
+      Longest = std::max(Longest, Outcome.RefusedAt_ - Outcome.SentAt_);
+  return Longest;
+}
+
+int SimulatedEngines::arrivalsAt(int Index, Millis From) const {
+  return static_cast<int>(
+      std::count_if(Arrivals_.begin(), Arrivals_.end(), [&](const Arrival &A) {
+        return A.Engine_ == Index && A.At_ > From;
+      }));
+}
+
 void SimulatedEngines::failAttempt(AttemptKey Key, AttemptFailure Failure) {
   Attempts_.erase(Key);
   Group_.scheduleEvent(0, Key.first, [Key, Failure] {
@@ -148,6 +233,7 @@
     if (E.Running_ || Group_.Now_ < E.RestartAt_)
       continue;
     E.Running_ = true;
+    E.Limit_.reset(); // A limit belongs to one start.
     ++E.StartCount_;
     E.Row_.Host_ = {
         "m" + std::to_string(I) + "-" + std::to_string(E.StartCount_), 1};
@@ -175,9 +261,11 @@
     Outcome.ServedAtFirst_ = Outcome.Arrivals_ == 1;
   } else if (const auto *Error = std::get_if<SendError>(&E)) {
     const auto Found = OutcomeByRequest_.find(Error->RequestId_);
-    if (Found != OutcomeByRequest_.end())
-      Outcomes_[Found->second].Refused_ =
-          Outcomes_[Found->second].Arrivals_ == 0;
+    if (Found == OutcomeByRequest_.end())
+      return;
+    PromptOutcome &Outcome = Outcomes_[Found->second];
+    Outcome.Refused_ = Outcome.Arrivals_ == 0;
+    Outcome.RefusedAt_ = Group_.Now_;
   }
 }
 
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -4,7 +4,9 @@
 
 #include "platformgroup.h"
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <utility>
@@ -21,6 +23,7 @@
   bool Served_ = false;
   bool ServedAtFirst_ = false; ///< Its first attempt was the one that began.
   bool Refused_ = false;       ///< Refused without having reached an engine.
+  Millis RefusedAt_ = 0;
 };
 
 /// Engines of the service `models` in the data centres of a group.
@@ -41,6 +44,22 @@
 
   /// Ends an engine; it starts again after `RestartDelay` with another name.
   void endEngine(int Index);
+  /// Lets an engine name a limit in its answers from now on.
+  /// @param PerSecond requests per second; nothing: it names none any more
+  void setLimit(int Index, std::optional<double> PerSecond);
+  /// @param Contact time in ms after the first naming from which the limit
+  /// binds
+  /// @param IsExcused tells whether a process does not count at a time
+  /// @return largest number of requests in any 4 s of one engine, less what its
+  ///   limits allowed; counted are processes that had passed on an answer with
+  ///   the limit half a second before
+  double largestExcess(
+      Millis Contact, const std::function<bool(int, Millis)> &IsExcused =
+                          [](int, Millis) { return false; }) const;
+  /// @return longest time in ms until a prompt sent since a time was refused
+  Millis longestRefusal(Millis From) const;
+  /// @return requests that reached an engine since a time
+  int arrivalsAt(int Index, Millis From) const;
   /// Breaks the first event of each attempt that begins at an engine from now
   /// on with this probability.
   void setResetFraction(double Fraction) { ResetFraction_ = Fraction; }
@@ -69,6 +88,7 @@
     bool Running_ = true;
     Millis RestartAt_ = 0;
     int StartCount_ = 1;
+    std::optional<double> Limit_;
   };
   struct RunningAttempt {
     int Engine_ = 0;
@@ -78,6 +98,15 @@
   struct Arrival {
     Millis At_ = 0;
     int Outcome_ = 0;
+    int Process_ = 0;
+    int Engine_ = 0;
+    int Start_ = 0; ///< Number of the engine's start.
+  };
+  /// Limits that one start of an engine has named.
+  struct NamedLimits {
+    Millis FirstAt_ = 0;
+    std::vector<std::pair<Millis, double>> Changes_; ///< 0: none any more.
+    std::map<int, Millis> FirstPassedOn_;            ///< By process.
   };
   using AttemptKey = std::pair<int, AttemptId>;
 
@@ -88,6 +117,8 @@
   void failAttempt(AttemptKey Key, AttemptFailure Failure);
   void restartEngines();
   void publishHosts();
+  /// States the engine's limit in the head of an answer, if it names one.
+  void sendNotice(AttemptKey Key, int Engine);
   bool hasDeadlyPart(const PromptOutcome &Outcome) const;
 
   PlatformGroup &Group_;
@@ -100,6 +131,7 @@
   std::map<std::pair<int, CallId>, int> OutcomeByCall_;
   std::map<AttemptKey, RunningAttempt> Attempts_;
   std::vector<Arrival> Arrivals_;
+  std::map<std::pair<int, int>, NamedLimits> Limits_; ///< By engine and start.
   std::vector<Millis> Ends_;
   std::vector<int> EndOutcomes_; ///< Prompt that has caused each of `Ends_`.
   double ResetFraction_ = 0;
