Named limits: a few processes share what an upstream takes from all together

Callers saw: an upstream in need that named how many requests a second it takes went on getting its usual share, up to ten times that (LIMIT), and slow answers.

Cause: nobody read what it named (hypothesis 1), and had each process obeyed alone, 119 would have sent 119 times as much (hypothesis 2): the fault of the quota again, a permission that several believe to hold in full.

Change: a statement on a limit has a number; it travels with the summaries, the later or, of equals, the stricter one holds. A limit is shared by as many processes as it has whole requests a second, the first by a hash of upstream and process among those that are alive; each sends its part, the others a tenth of the limit in all, drawn so that nothing is saved up. A sender that has left its part unused sends the next request there, so that the limit is used and its end is noticed: an answer without it to a request sent after it was last named ends it. A process that begins has no bucket. Ruled out: moving units as for quotas (31 parts of one request a second are of no use to whoever has work, and each answer changes what there is).

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -202,6 +202,12 @@
   F("service", R.Service_);
   F("ms_per_second", R.MsPerSecond_);
 }
+template <SameIgnoringConst<LimitRow> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("upstream", R.UpstreamHash_);
+  F("per_second", R.PerSecond_);
+  F("number", R.Number_);
+}
 template <SameIgnoringConst<SummaryMessage> T, typename V>
 void visitFields(T &R, V &&F) {
   F("loads", R.Loads_);
@@ -221,6 +227,7 @@
   F("collectors", R.Aggregators_);
   F("list_hash", R.UsedHostsHash_);
   F("list_version", R.UsedHostsVersion_);
+  F("limits", R.Limits_);
 }
 template <SameIgnoringConst<UsageMessage> T, typename V>
 void visitFields(T &R, V &&F) {
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -20,6 +20,7 @@
 #include "quota.h"
 #include "quotaexchange.h"
 #include "release.h"
+#include "requestlimits.h"
 #include "resume.h"
 #include "rollout.h"
 #include "routed.h"
@@ -77,6 +78,7 @@
 
 void onTick(State &S, Effects &Out) {
   tickUpstreams(S, Out);
+  tickRequestLimits(S);
   tickAdmission(S);
   tickMembership(S, Out);
   tickControlSnapshots(S, Out);
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -6,6 +6,7 @@
 #include "diagnostics.h"
 #include "parttrials.h"
 #include "release.h"
+#include "requestlimits.h"
 #include "router.h"
 #include <algorithm>
 
@@ -107,6 +108,7 @@
 void fillRoutedFields(const State &S, const Call &C, const Upstream &U,
                       StartAttempt &Start) {
   Start.Host_ = U.Row_.Host_.Name_;
+  Start.ReportsLimit_ = U.NamedLimit_.has_value();
   Start.Headers_ = C.Request_.Headers_;
   Start.Account_ = C.Account_;
   Start.TimeLeft_ = std::max<Millis>(1, C.Deadline_ - S.Now_);
@@ -135,6 +137,7 @@
 void startAttempt(State &S, Call &C, int Index, const VersionChoice &Choice,
                   Effects &Out) {
   Upstream &U = S.Upstreams_[Index];
+  chargeRequest(S, U);
   ++U.InFlight_;
   const bool IsBatch = C.Request_.Priority_ == Priority::Batch;
   U.BatchInFlight_ += IsBatch ? 1 : 0;
--- a/src/effect.h
+++ b/src/effect.h
@@ -39,6 +39,7 @@
   std::string Account_; ///< Name of the client account; empty: none.
   Millis TimeLeft_ = 0; ///< Time left for the whole answer.
   bool Stream_ = false;
+  bool ReportsLimit_ = false; ///< Report also that an answer names no limit.
   std::int64_t ResumeAfter_ = NoEventIndex; ///< Last event already received.
   int Urgency_ = 5;                         ///< 0 is the most urgent.
   /// Longest time for which a reused connection may have been idle; 0: the
--- a/src/messages.h
+++ b/src/messages.h
@@ -241,6 +241,13 @@
   Millis ConfigAge_ = 0;
 };
 
+/// A statement on the limit that an upstream names.
+struct LimitRow {
+  std::uint32_t UpstreamHash_ = 0;
+  double PerSecond_ = -1;    ///< Requests per second; below 0: none any more.
+  std::uint64_t Number_ = 0; ///< A later statement has a larger number.
+};
+
 /// A report that an aggregator's summary includes.
 struct IncludedReportRow {
   std::uint32_t InstanceHash_ = 0;
@@ -280,6 +287,8 @@
   std::vector<std::string> Aggregators_;
   std::uint64_t UsedHostsHash_ = 0; ///< Hash of the host list in use.
   LogOffset UsedHostsVersion_ = 0;  ///< Version of the host list in use.
+  std::vector<LimitRow>
+      Limits_; ///< Of all processes, as the sender knows them.
 };
 
 /// Usage counts of the sender's incarnation, for processes that may have to
--- a/src/router.cpp
+++ b/src/router.cpp
@@ -2,6 +2,7 @@
 #include "router.h"
 
 #include "admission.h"
+#include "requestlimits.h"
 
 #include <algorithm>
 #include <array>
@@ -132,7 +133,9 @@
 /// Checks the room for a call at an upstream, by the upstream's state, this
 /// process's concurrency limit and the upstreams that the call has tried.
 bool hasRoom(const State &S, const Upstream &U, const Call &C, int Index) {
-  if (!isUsable(S, U) || U.InFlight_ >= static_cast<int>(U.ConcurrencyLimit_) ||
+  const bool IsBatch = C.Request_.Priority_ == Priority::Batch;
+  if (!isUsable(S, U) || !mayRequest(S, U, IsBatch) ||
+      U.InFlight_ >= static_cast<int>(U.ConcurrencyLimit_) ||
       C.TriedUpstreams_.count(Index) > 0)
     return false;
   if (C.Request_.Kind_ == CallKind::Routed)
@@ -426,12 +429,19 @@
 
 bool isUsable(const State &S, const Upstream &U) {
   return !U.Leaving_ && U.Listed_ && S.Now_ >= U.AvoidUntil_ &&
-         S.Now_ >= U.PausedUntil_;
+         S.Now_ >= U.PausedUntil_ && mayRequest(S, U, false);
 }
 
 int pickUpstream(State &S, const Call &C, std::string_view Version) {
   if (S.PoolsChanged_)
     rebuildPools(S);
+  if (C.Request_.Kind_ == CallKind::Routed)
+    for (const int Index : S.LimitedUpstreams_) {
+      const Upstream &U = S.Upstreams_[Index];
+      if (isRequestDue(S, U) && servesRoutedCall(S, U, C, Version) &&
+          hasRoom(S, U, C, Index))
+        return Index;
+    }
   const std::string Key = poolKey(C, Version);
   const auto Global = S.Pools_.find(Key);
   if (Global == S.Pools_.end())
--- a/src/state.h
+++ b/src/state.h
@@ -63,6 +63,18 @@
   double OthersPrefillMs_ = 0;
   /// When the host was first missing from the host list; 0: it is listed.
   Millis MissingSince_ = 0;
+
+  /// Requests per second that it takes from all processes together, as it names
+  /// in its answers; nothing: it names no limit.
+  std::optional<double> NamedLimit_;
+  /// Number of the last statement on the limit; a later one has a larger
+  /// number.
+  std::uint64_t LimitNumber_ = 0;
+  Millis LimitChangedAt_ = 0; ///< When that statement was applied.
+  Millis LimitNamedAt_ = 0;   ///< When the limit was last named here.
+  double LimitPart_ = 0;      ///< This process's part; 0: others share it.
+  double LimitRequests_ = 0;  ///< Requests that this process may send.
+  Millis LimitRefilledAt_ = 0;
 };
 
 /// Upstreams that serve one model version or service, with a hash ring.
@@ -566,6 +578,11 @@
 
   std::vector<Upstream> Upstreams_; ///< Never shrinks; indices stay valid.
   std::map<InstanceId, int> UpstreamByInstance_; ///< Index into `Upstreams_`.
+  /// Index into `Upstreams_` by instanceHash().
+  std::unordered_map<std::uint32_t, int> UpstreamByHash_;
+  std::vector<int> LimitedUpstreams_; ///< Indices of those that name a limit.
+  Millis LimitsUpdatedAt_ = 0; ///< Last update of the parts of named limits.
+  Millis LimitsDrawnAt_ = 0;   ///< Last draw for limits that others share.
   /// By model version or service, for all data centres and for each one.
   std::unordered_map<std::string, Pool> Pools_;
   bool PoolsChanged_ = true; ///< `Pools_` must be rebuilt.
--- a/src/summaries.cpp
+++ b/src/summaries.cpp
@@ -4,6 +4,7 @@
 
 #include "aggregators.h"
 #include "membership.h"
+#include "requestlimits.h"
 #include "rollout.h"
 #include "storereaders.h"
 #include "usage.h"
@@ -58,6 +59,7 @@
     Message_.ConfigVersion_ = S.Config_.Version_;
     Message_.UnixMs_ = correctedUnixMs(S);
     writeStoreState(S, Message_);
+    Message_.Limits_ = limitRows(S);
   }
 
   /// Adds a peer's summary.
@@ -245,6 +247,7 @@
   mergeStoreState(S, From, Message, Out);
   recordPeerClock(S, From.Name_, Message.UnixMs_);
   adoptServiceRollouts(S, Message.Rollouts_, Out);
+  mergeLimits(S, Message.Limits_, Out);
   if (Message.ConfigVersion_ > S.Config_.Version_)
     Out.push_back(SendToPeer{From.Name_, ControlRequestMessage{}});
   if (!isLargeCluster(S))
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -6,6 +6,7 @@
 #include "diagnostics.h"
 #include "membership.h"
 #include "promptparts.h"
+#include "requestlimits.h"
 #include "router.h"
 
 #include <algorithm>
@@ -68,6 +69,8 @@
   New.ConcurrencyLimit_ = S.Settings_.Limits_.InitialUpstreamConcurrency_;
   New.Leaving_ = isLeaving(S, Row.Host_);
   S.UpstreamByInstance_[Row.Host_] = static_cast<int>(S.Upstreams_.size());
+  S.UpstreamByHash_[instanceHash(Row.Host_)] =
+      static_cast<int>(S.Upstreams_.size());
   S.Upstreams_.push_back(New);
   S.PoolsChanged_ = true;
   logEvent(Out, "upstream_added",
@@ -241,10 +244,7 @@
   Upstream &U = S.Upstreams_[Found->second.Upstream_];
   if (E.Leaving_)
     markLeaving(S, U.Row_.Host_, "answer", Out);
-  if (E.Limit_)
-    logEvent(Out, "upstream_names_limit",
-             {{"upstream", U.Row_.Host_.Name_},
-              {"limit", fmt::format("{}", *E.Limit_)}});
+  recordNamedLimit(S, Found->second, E.Limit_, Out);
   if (E.Pause_ <= 0)
     return;
   U.PausedUntil_ = std::max(U.PausedUntil_, S.Now_ + E.Pause_);
