--- a/src/promptparts.cpp
+++ b/src/promptparts.cpp
@@ -455,13 +455,14 @@
   for (const HostRow &Row : Hosts)
     Versions[Row.Service_].insert(Row.Version_);
   bool Replaced = false;
-  for (const auto &[Service, Now] : Versions) {
-    auto &Before = S.Parts_.ServedVersions_[Service];
+  for (const auto &Entry : Versions) {
+    const std::set<std::string> &Served = Entry.second;
+    std::set<std::string> &Before = S.Parts_.ServedVersions_[Entry.first];
     Replaced = Replaced ||
                std::any_of(Before.begin(), Before.end(), [&](const auto &Old) {
-                 return Now.count(Old) == 0;
+                 return Served.count(Old) == 0;
                });
-    Before = Now;
+    Before = Served;
   }
   if (Replaced)
     S.Parts_.Cleared_ = {};
--- a/tests/prompt_parts_test.cpp
+++ b/tests/prompt_parts_test.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 constexpr std::size_t MaxSuspects = 512;
-constexpr std::size_t MaxClearedParts = 2 * 16384;
+constexpr std::size_t MaxClearedParts = 32768; // in two generations
 
 class PromptPartsTest : public PlatformTest {
 protected:
--- a/tests/simulatedengines.cpp
+++ b/tests/simulatedengines.cpp
@@ -146,11 +146,14 @@
 double SimulatedEngines::largestExcess(
     Millis Contact, const std::function<bool(int, Millis)> &IsExcused) const {
   constexpr Millis Window = 4000;
+  constexpr double WindowSeconds = Window / 1000.0;
   constexpr Millis PassedOnBefore = 500;
   constexpr double Factor = 1.5;
   constexpr double Slack = 5;
   double Largest = -1e9;
-  for (const auto &[Key, Named] : Limits_) {
+  for (const auto &Entry : Limits_) {
+    const auto Key = Entry.first;
+    const NamedLimits &Named = Entry.second;
     if (Named.FirstAt_ == 0)
       continue;
     std::vector<Millis> Counted;
@@ -182,7 +185,7 @@
       const auto Count = static_cast<double>(
           Last - Counted.begin() - static_cast<std::ptrdiff_t>(First));
       Largest = std::max(Largest,
-                         Count - (Factor * (Window / 1000) *
+                         Count - (Factor * WindowSeconds *
                                       LimitIn(Counted[First] - Contact, End) +
                                   Slack));
     }
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -118,7 +118,7 @@
   void restartEngines();
   void publishHosts();
   /// States the engine's limit in the head of an answer, if it names one.
-  void sendNotice(AttemptKey Key, int Engine);
+  void sendNotice(AttemptKey Key, int Index);
   bool hasDeadlyPart(const PromptOutcome &Outcome) const;
 
   PlatformGroup &Group_;
