--- a/tests/deadly_part_test.cpp
+++ b/tests/deadly_part_test.cpp
@@ -21,26 +21,11 @@
 constexpr double MinServedRatio = 0.5;
 constexpr int LargeCluster = 60; // processes
 
-const std::string Config = R"([account buyers]
-key = k1
-[service models]
-max_connections = 1000
-[route plan]
-host = shop.example
-path = /plan/
-kind = stream
-public = yes
-resumable = yes
-time_limit = 15000ms
-objective = 1000ms
-attempts = 2
-service = models:1
-)";
-
 class DeadlyPartTest : public ::testing::Test {
 protected:
   void startGroup(int ProcessCount) {
-    Group_ = std::make_unique<PlatformGroup>(ProcessCount, Config);
+    Group_ =
+        std::make_unique<PlatformGroup>(ProcessCount, SimulatedEngines::Config);
     const int EngineCount = ProcessCount < 10 ? 12 : ProcessCount;
     Engines_ = std::make_unique<SimulatedEngines>(*Group_, EngineCount);
     PromptsPerSecond_ = ProcessCount < 10 ? 20 : 2.0 * ProcessCount;
--- a/tests/engine_soak_test.cpp
+++ b/tests/engine_soak_test.cpp
@@ -24,22 +24,6 @@
 constexpr int LargeCluster = 60;        // processes
 constexpr Millis MaxFaultGap = 1500;    // ms
 
-const std::string Config = R"([account buyers]
-key = k1
-[service models]
-max_connections = 1000
-[route plan]
-host = shop.example
-path = /plan/
-kind = stream
-public = yes
-resumable = yes
-time_limit = 15000ms
-objective = 1000ms
-attempts = 2
-service = models:1
-)";
-
 int seedCount() {
   const char *Text = std::getenv("SOAK_SEEDS");
   return Text == nullptr ? 2 : std::max(1, std::atoi(Text));
@@ -51,7 +35,8 @@
   void SetUp() override {
     const auto [ProcessCount, Seed] = GetParam();
     RandomGenerator_.seed(static_cast<std::uint32_t>(Seed));
-    Group_ = std::make_unique<PlatformGroup>(ProcessCount, Config);
+    Group_ =
+        std::make_unique<PlatformGroup>(ProcessCount, SimulatedEngines::Config);
     Engines_ = std::make_unique<SimulatedEngines>(*Group_,
                                                   ProcessCount < 10 ? 12 : 24);
     Engines_->DeadlyParts_ = {"deadly"};
--- a/tests/named_limit_test.cpp
+++ b/tests/named_limit_test.cpp
@@ -16,28 +16,13 @@
 /// Least part of what the limits allow that is used when all engines name one.
 constexpr double MinUsedFraction = 0.5;
 
-const std::string Config = R"([account buyers]
-key = k1
-[service models]
-max_connections = 1000
-[route plan]
-host = shop.example
-path = /plan/
-kind = stream
-public = yes
-resumable = yes
-time_limit = 15000ms
-objective = 1000ms
-attempts = 2
-service = models:1
-)";
-
 /// The parameter is the number of processes.
 class NamedLimitTest : public ::testing::TestWithParam<int> {
 protected:
   void SetUp() override {
     const int ProcessCount = GetParam();
-    Group_ = std::make_unique<PlatformGroup>(ProcessCount, Config);
+    Group_ =
+        std::make_unique<PlatformGroup>(ProcessCount, SimulatedEngines::Config);
     const int EngineCount = ProcessCount < 10 ? 12 : 20;
     Engines_ = std::make_unique<SimulatedEngines>(*Group_, EngineCount);
     PromptsPerSecond_ = 8.0 * EngineCount;
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -35,6 +35,23 @@
   /// Time for which the host list still has an engine that has ended, in ms.
   static constexpr Millis ListExpiry = 3600;
 
+  /// Configuration of a group with one route of streams to the engines.
+  static constexpr const char *Config = R"([account buyers]
+key = k1
+[service models]
+max_connections = 1000
+[route plan]
+host = shop.example
+path = /plan/
+kind = stream
+public = yes
+resumable = yes
+time_limit = 15000ms
+objective = 1000ms
+attempts = 2
+service = models:1
+)";
+
   SimulatedEngines(PlatformGroup &Group, int Count);
 
   /// Sends a prompt for the route `/plan/`; the last part should be unique.
