--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -100,6 +100,33 @@
   EXPECT_EQ(Sound.Body_, completeStream());
 }
 
+TEST_F(PlatformProcessTest, server_namesALimit_getsNoMoreUntilItEnds) {
+  sendControl(ServerPorts_[0], {{"limit", "1.5"}});
+  const auto RunCount = [&](int Server) {
+    return static_cast<int>(fetchServerState(Server)["runs"].size());
+  };
+  int Sent = 0;
+  const auto SendFor = [&](Millis Time) {
+    const Millis End = monotonicNow() + Time;
+    while (monotonicNow() < End) {
+      sendGet(Sent % EntryCount, "/check/1", fmt::format("l{}", Sent));
+      ++Sent;
+      std::this_thread::sleep_for(std::chrono::milliseconds(15));
+    }
+  };
+  SendFor(3000);
+  const int Before = RunCount(0);
+  SendFor(4000);
+  const int Limited = RunCount(0) - Before;
+  EXPECT_LE(Limited, 14); // 1.5 x 4 s x 1.5 + 5
+  EXPECT_GE(Limited, 3);
+  sendControl(ServerPorts_[0], {{"limit", ""}});
+  SendFor(3000);
+  const int Ended = RunCount(0);
+  SendFor(2000);
+  EXPECT_GE(RunCount(0) - Ended, 20);
+}
+
 TEST_F(PlatformProcessTest, booking_answerLost_runsOnceAndPromisesNothing) {
   for (const int Port : ServerPorts_)
     sendControl(Port, {{"lose_answers", 1}});
