Host list: log when missing hosts are kept, when one goes out of use, and each request to a missing one

New lines: host_list_recovered (how long reads failed, how long peers could read, whether missing hosts are kept), upstream_unlisted (how long it was missing), host_list_behind (whose newer list), missing_upstream_used (request, how long missing). No decision changes; bounded by changes of the list, the last one by requests to missing hosts only.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -193,6 +193,11 @@
   C.FreshConnection_ = false;
   if (C.Request_.Kind_ == CallKind::Routed)
     fillRoutedFields(S, C, U, Start);
+  if (U.MissingSince_ != 0)
+    logEvent(Out, "missing_upstream_used",
+             {{"request", C.RequestId_},
+              {"upstream", U.Row_.Host_.Name_},
+              {"missing_ms", std::to_string(S.Now_ - U.MissingSince_)}});
   Out.push_back(std::move(Start));
 }
 
--- a/src/storereaders.cpp
+++ b/src/storereaders.cpp
@@ -42,7 +42,7 @@
 /// Compares a store reader's host list with the list in use here. A newer list
 /// with other contents shows that the one in use is outdated; any other list
 /// confirms it.
-void mergeHostListState(State &S, const StoreReaderRow &Row) {
+void mergeHostListState(State &S, const StoreReaderRow &Row, Effects &Out) {
   // Published reads are at most MaxHostListAge old. So a row that arrives later
   // than that after this process's reads began to fail shows that a peer has
   // read the store since.
@@ -52,8 +52,14 @@
     S.PeersReadHostsSince_ = S.Now_;
   if (Row.HostsVersion_ > S.HostsVersion_) {
     if (Row.HostsHash_ != hostsHash(S)) {
-      if (S.HostsBehindSince_ == 0)
+      if (S.HostsBehindSince_ == 0) {
         S.HostsBehindSince_ = S.Now_;
+        logEvent(Out, "host_list_behind",
+                 {{"peer", Row.Name_},
+                  {"version", std::to_string(Row.HostsVersion_)},
+                  {"own", std::to_string(S.HostsVersion_)},
+                  {"age_ms", std::to_string(Row.HostsAge_)}});
+      }
       // In a large cluster a peer sends the list; this process reads the store
       // only if none does.
       if (!isLargeCluster(S) ||
@@ -68,7 +74,7 @@
 }
 
 /// Merges the row of one store reader, received directly or through others.
-void mergeStoreReaderRow(State &S, const StoreReaderRow &Row) {
+void mergeStoreReaderRow(State &S, const StoreReaderRow &Row, Effects &Out) {
   if (Row.Name_ == S.Self_.Name_ || Row.HostsHash_ == 0)
     return;
   StoreReaderState &Known = S.Membership_.StoreReaders_[Row.Name_];
@@ -82,7 +88,7 @@
     return;
   Known.Row_ = Row;
   Known.HostsReadAt_ = HostsReadAt;
-  mergeHostListState(S, Row);
+  mergeHostListState(S, Row, Out);
   if (Row.ConfigAge_ < 0 || Row.ConfigVersion_ > S.Config_.Version_)
     return;
   const Millis ConfigReadAt = S.Now_ - Row.ConfigAge_;
@@ -163,7 +169,7 @@
   bool HasSenderRow = false;
   for (const StoreReaderRow &Row : Message.StoreReaders_) {
     HasSenderRow = HasSenderRow || Row.Name_ == From.Name_;
-    mergeStoreReaderRow(S, Row);
+    mergeStoreReaderRow(S, Row, Out);
   }
   if (Message.HostsHash_ != 0 && !HasSenderRow) {
     StoreReaderRow Row;
@@ -172,7 +178,7 @@
     Row.HostsVersion_ = Message.HostsVersion_;
     Row.HostsReadAt_ = S.Now_;
     Row.ConfigAge_ = -1;
-    mergeStoreReaderRow(S, Row);
+    mergeStoreReaderRow(S, Row, Out);
   }
   std::erase_if(Readers, [&](const auto &Entry) {
     return S.Now_ - Entry.second.HostsReadAt_ > StoreReaderRemovalTimeout;
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -81,10 +81,18 @@
 /// the outage are listed again. It is no recovery if peers could read the store
 /// meanwhile: then only the reads of this process failed, and no entries
 /// expired.
-void recordHostListRecovery(State &S) {
+void recordHostListRecovery(State &S, Effects &Out) {
   const bool PeersCouldRead =
       S.PeersReadHostsSince_ != 0 &&
       S.Now_ - S.PeersReadHostsSince_ >= MinPeerReadTime;
+  if (S.HostsFailingSince_ != 0) {
+    const Millis PeersReadFor =
+        S.PeersReadHostsSince_ == 0 ? 0 : S.Now_ - S.PeersReadHostsSince_;
+    logEvent(Out, "host_list_recovered",
+             {{"failing_ms", std::to_string(S.Now_ - S.HostsFailingSince_)},
+              {"peers_read_ms", std::to_string(PeersReadFor)},
+              {"missing_kept", PeersCouldRead ? "no" : "yes"}});
+  }
   if (S.HostsFailingSince_ != 0 && !PeersCouldRead)
     S.HostsRecoveredAt_ = S.Now_;
   S.HostsFailingSince_ = 0;
@@ -102,6 +110,10 @@
   const bool RecentlyRecovered =
       S.HostsRecoveredAt_ != 0 && S.Now_ - S.HostsRecoveredAt_ < RelistWindow;
   U.Listed_ = RecentlyRecovered && S.Settings_.servesPlatform();
+  if (!U.Listed_)
+    logEvent(Out, "upstream_unlisted",
+             {{"upstream", U.Row_.Host_.Name_},
+              {"missing_ms", std::to_string(S.Now_ - U.MissingSince_)}});
 }
 
 /// On the platform only the store readers read the list periodically. Other
@@ -179,7 +191,7 @@
 }
 
 void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
-  recordHostListRecovery(S);
+  recordHostListRecovery(S, Out);
   S.HostsReadAt_ = S.Now_;
   // A slow read may return an older list than one that a peer has sent since.
   if (E.Version_ != 0 && E.Version_ < S.HostsVersion_)
