--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -12,6 +12,8 @@
 constexpr Millis StoreCallTime = 50;
 /// Time after which a call to an unreachable store fails, in ms.
 constexpr Millis StoreCallTimeout = 1500;
+/// The same for a read of the host list, which does not wait for records.
+constexpr Millis HostReadTimeout = 900;
 
 } // namespace
 
@@ -44,6 +46,7 @@
   ProcessSettings.Bounds_.QuotaExcess_ = 0.1;
   ProcessSettings.Bounds_.QuotaSlack_ = QuotaSlackTokens_;
   P.State_ = makeState(ProcessSettings, P.Incarnation_);
+  P.HostsReadUntil_ = 0;
   P.Running_ = true;
   ProcessByAddress_["10.0.0." + std::to_string(I) + ":7000"] = I;
 }
@@ -167,6 +170,22 @@
   });
 }
 
+void PlatformGroup::readHosts(int I) {
+  // As the client of the store does, one read at a time.
+  if (Now_ < Processes_[I].HostsReadUntil_)
+    return;
+  ++StoreCallCount_;
+  const bool Reachable = canReachStore(I);
+  const Millis Duration = Reachable ? StoreCallTime : HostReadTimeout;
+  Processes_[I].HostsReadUntil_ = Now_ + Duration;
+  if (Reachable)
+    scheduleEvent(Duration, I, [this] {
+      return HostsRead{Hosts_, HostsVersion_};
+    });
+  else
+    scheduleEvent(Duration, I, [] { return HostsReadFailed{}; });
+}
+
 void PlatformGroup::answerAttempt(int I, const StartAttempt &Start) {
   const auto Waiting = WaitingTokens_.find(Start.RequestId_);
   if (Waiting != WaitingTokens_.end()) {
@@ -205,13 +224,7 @@
     ++StoreCallCount_;
     appendToControlLog(I, *Append);
   } else if (std::holds_alternative<ReadHosts>(E)) {
-    ++StoreCallCount_;
-    if (canReachStore(I))
-      scheduleEvent(StoreCallTime, I, [this] {
-        return HostsRead{Hosts_, HostsVersion_};
-      });
-    else
-      scheduleEvent(StoreCallTimeout, I, [] { return HostsReadFailed{}; });
+    readHosts(I);
   } else if (const auto *Usage = std::get_if<ReportUsage>(&E)) {
     ++ControlCallCount_;
     ReportedUsage_[Usage->Window_] = Usage->Counts_;
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -106,6 +106,7 @@
     bool Running_ = true;
     Millis StartAt_ = 0; ///< Time of the next start; 0 means never.
     Millis FrozenUntil_ = 0;
+    Millis HostsReadUntil_ = 0; ///< End of its read of the host list.
     std::uint64_t Incarnation_ = 1;
   };
 
@@ -122,6 +123,7 @@
   /// Reads the operator log; waits for a new record until a point in time.
   void readOperatorLog(int I, const ReadOperatorLog &E, Millis Until);
   void appendToControlLog(int I, const AppendToLog &E);
+  void readHosts(int I);
   bool canReachStore(int I) const;
   bool canReach(int From, int To) const;
 
