Host list: the time after an outage in which missing hosts are kept ends by the clock

What callers saw: requests went to a host whose entry had been removed, until the next change of the list. Cause: whether that time (2.3 s) is over was asked only when a list is adopted; a process that is no store reader adopts a list only when its contents change, and a store reader at its next read.

The tick ends the time and takes the missing hosts out of use.

--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -99,6 +99,15 @@
   S.PeersReadHostsSince_ = 0;
 }
 
+/// Stops new work to a host that is missing from the host list.
+void unlistHost(State &S, Upstream &U, Effects &Out) {
+  U.Listed_ = false;
+  S.PoolsChanged_ = true;
+  logEvent(Out, "upstream_unlisted",
+           {{"upstream", U.Row_.Host_.Name_},
+            {"missing_ms", std::to_string(S.Now_ - U.MissingSince_)}});
+}
+
 /// Stops new work to a host that is missing from the host list. On the platform
 /// the host keeps getting work for a time after a store outage, in which
 /// expired entries are listed again.
@@ -109,11 +118,19 @@
   }
   const bool RecentlyRecovered =
       S.HostsRecoveredAt_ != 0 && S.Now_ - S.HostsRecoveredAt_ < RelistWindow;
-  U.Listed_ = RecentlyRecovered && S.Settings_.servesPlatform();
-  if (!U.Listed_)
-    logEvent(Out, "upstream_unlisted",
-             {{"upstream", U.Row_.Host_.Name_},
-              {"missing_ms", std::to_string(S.Now_ - U.MissingSince_)}});
+  if (!RecentlyRecovered || !S.Settings_.servesPlatform())
+    unlistHost(S, U, Out);
+}
+
+/// Stops new work to hosts that are still missing when the time after an outage
+/// has passed, whether or not a list arrives then.
+void tickMissingHosts(State &S, Effects &Out) {
+  if (S.HostsRecoveredAt_ == 0 || S.Now_ - S.HostsRecoveredAt_ < RelistWindow)
+    return;
+  S.HostsRecoveredAt_ = 0;
+  for (Upstream &U : S.Upstreams_)
+    if (U.MissingSince_ != 0 && U.Listed_)
+      unlistHost(S, U, Out);
 }
 
 /// On the platform only the store readers read the list periodically. Other
@@ -159,18 +176,16 @@
 
 void adoptHostList(State &S, std::span<const HostRow> Hosts, LogOffset Version,
                    Effects &Out) {
-  std::vector<bool> WasListed;
-  for (Upstream &U : S.Upstreams_) {
-    WasListed.push_back(U.Listed_);
+  for (Upstream &U : S.Upstreams_)
     U.InLatestList_ = false;
-  }
   for (const HostRow &Row : Hosts) {
     const auto Found = S.UpstreamByInstance_.find(Row.Host_);
     if (Found == S.UpstreamByInstance_.end()) {
       addUpstream(S, Row, Out);
     } else {
       Upstream &U = S.Upstreams_[Found->second];
-      S.PoolsChanged_ = S.PoolsChanged_ || U.Row_.Version_ != Row.Version_;
+      S.PoolsChanged_ =
+          S.PoolsChanged_ || !U.Listed_ || U.Row_.Version_ != Row.Version_;
       U.Row_ = Row;
       U.InLatestList_ = true;
       U.Listed_ = true;
@@ -182,9 +197,6 @@
   for (Upstream &U : S.Upstreams_)
     if (!U.InLatestList_ && U.Listed_)
       recordMissingHost(S, U, Out);
-  for (std::size_t I = 0; I < WasListed.size(); ++I)
-    S.PoolsChanged_ =
-        S.PoolsChanged_ || S.Upstreams_[I].Listed_ != WasListed[I];
   forgetClearedUnderOldVersions(S, Hosts);
   S.HostsVersion_ = Version;
   S.HostsBehindSince_ = 0;
@@ -303,6 +315,7 @@
 }
 
 void tickUpstreams(State &S, Effects &Out) {
+  tickMissingHosts(S, Out);
   if (isHostListReadDue(S)) {
     S.HostsReadAt_ = S.Now_;
     S.HostsOutdated_ = false;
