Host list: a cut is no outage of the store

What callers saw: a process that had been cut off sent requests to a host that had left 8.5 s before. Cause: it kept missing hosts for 2.3 s after its reads worked again, as after an outage of the store, because it had heard of no peer that could read; the peers were beyond the cut.

Now each store reader says since when its reads have not failed. The store had an outage only if no reader could read: a row that covers the time in which the own reads failed ends it at once. The state has an end in both directions (an outage that one sees and others do not, a reader that has just begun), and lists no longer carry one process's belief to the others, the latest winning.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -169,6 +169,8 @@
   F("hosts_read_at", R.HostsReadAt_);
   F("config_version", R.ConfigVersion_);
   F("config_age", R.ConfigAge_);
+  F("hosts_readable_for", R.HostsReadableFor_);
+  F("hosts_recovered", R.HostsRecovered_);
 }
 template <SameIgnoringConst<IncludedReportRow> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -239,7 +241,7 @@
 void visitFields(T &R, V &&F) {
   F("version", R.Version_);
   F("hosts", R.Hosts_);
-  F("back_for", R.RecoveredFor_);
+  F("reserved", R.Reserved_);
 }
 template <SameIgnoringConst<FactsMessage> T, typename V>
 void visitFields(T &R, V &&F) {
--- a/src/messages.h
+++ b/src/messages.h
@@ -239,6 +239,10 @@
   LogOffset ConfigVersion_ = NoOffset;
   /// Time since the operator log was last read; below 0: not yet.
   Millis ConfigAge_ = 0;
+  /// Time up to its last read in which its reads of the host list have not
+  /// failed.
+  Millis HostsReadableFor_ = 0;
+  bool HostsRecovered_ = false; ///< That time began after a failed read.
 };
 
 /// A statement on the limit that an upstream names.
@@ -304,9 +308,7 @@
 struct HostsMessage {
   LogOffset Version_ = 0;
   std::vector<HostRow> Hosts_;
-  /// Time since the store recovered from an outage, as the sender saw it; below
-  /// 0: no outage was seen.
-  Millis RecoveredFor_ = -1;
+  ReservedField Reserved_;
 };
 
 /// Facts and evidence. Merging is idempotent and commutative.
--- a/src/state.h
+++ b/src/state.h
@@ -562,6 +562,12 @@
   std::deque<std::pair<Millis, std::string>> ExpiryOrder_;
 };
 
+/// Time in which the platform's store has served reads.
+struct StoreService {
+  Millis Since_ = 0; ///< End of the last known outage; 0: none.
+  Millis Until_ = 0; ///< Last read by this process or a store reader.
+};
+
 enum class Stage { Starting, Serving, Draining, Stopped };
 
 struct State {
@@ -628,13 +634,14 @@
   Millis HostsCompleteAt_ = -1;
   /// Version of the host list in use; grows with each change; 0: unknown.
   LogOffset HostsVersion_ = 0;
-  /// Since when store readers have read the host list while reads fail here; 0:
-  /// none has.
-  Millis PeersReadHostsSince_ = 0;
+  /// Since when the reads of this process have not failed; -1: no read yet.
+  Millis HostsReadableSince_ = -1;
+  bool HostsRecovered_ = false; ///< That time began after a failed read.
+  StoreService StoreService_;
+  /// A missing host still gets work, because the store has just recovered.
+  bool MissingHostsKept_ = false;
   /// Since when reads of the host list have failed; 0: the last one succeeded.
   Millis HostsFailingSince_ = 0;
-  /// First read of the host list after the last outage of the store; 0: none.
-  Millis HostsRecoveredAt_ = 0;
   Millis NoticesReadAt_ = -1; ///< Last read of reclaim notices; -1: never.
   bool Ready_ = false;
   /// When the numbers of calls to the platform were last logged.
--- a/src/storereaders.cpp
+++ b/src/storereaders.cpp
@@ -18,6 +18,8 @@
 constexpr Millis MaxHostListAge = 1100; // ms; older reads are not published
 // The same limit, in ms, for a large cluster, where lists are read less often.
 constexpr Millis LargeClusterMaxHostListAge = 2500;
+// Longer than the time between two reads of store readers, ms.
+constexpr Millis MinOutage = 1100;
 // Age of the store readers' last read of the operator log, in ms, after which
 // this process reads the log itself.
 constexpr Millis MaxOperatorReadAge = 3000;
@@ -33,6 +35,8 @@
   Row.HostsVersion_ = S.HostsVersion_;
   Row.HostsAge_ = S.Now_ - S.HostsCompleteAt_;
   Row.HostsReadAt_ = S.HostsCompleteAt_;
+  Row.HostsReadableFor_ = S.HostsCompleteAt_ - S.HostsReadableSince_;
+  Row.HostsRecovered_ = S.HostsRecovered_;
   Row.ConfigVersion_ = S.Config_.Version_;
   Row.ConfigAge_ =
       S.OperatorLog_.LastReadAt_ < 0 ? -1 : S.Now_ - S.OperatorLog_.LastReadAt_;
@@ -43,13 +47,6 @@
 /// with other contents shows that the one in use is outdated; any other list
 /// confirms it.
 void mergeHostListState(State &S, const StoreReaderRow &Row, Effects &Out) {
-  // Published reads are at most MaxHostListAge old. So a row that arrives later
-  // than that after this process's reads began to fail shows that a peer has
-  // read the store since.
-  const Millis Since = S.HostsFailingSince_;
-  if (Since != 0 && S.Now_ > Since + MaxHostListAge &&
-      S.PeersReadHostsSince_ == 0)
-    S.PeersReadHostsSince_ = S.Now_;
   if (Row.HostsVersion_ > S.HostsVersion_) {
     if (Row.HostsHash_ != hostsHash(S)) {
       if (S.HostsBehindSince_ == 0) {
@@ -88,6 +85,8 @@
     return;
   Known.Row_ = Row;
   Known.HostsReadAt_ = HostsReadAt;
+  recordStoreService(S, HostsReadAt - Row.HostsReadableFor_, HostsReadAt,
+                     Row.HostsRecovered_, Out);
   mergeHostListState(S, Row, Out);
   if (Row.ConfigAge_ < 0 || Row.ConfigVersion_ > S.Config_.Version_)
     return;
@@ -191,23 +190,33 @@
          S.Now_ - S.OperatorLog_.StoreReaderReadAt_ < MaxOperatorReadAge;
 }
 
+void recordStoreService(State &S, Millis From, Millis To, bool Recovered,
+                        Effects &Out) {
+  StoreService &Known = S.StoreService_;
+  const bool ReadThroughOutage =
+      Known.Since_ != 0 && From < Known.Since_ && To >= Known.Since_;
+  if (ReadThroughOutage || (Recovered && From - Known.Until_ > MinOutage)) {
+    logEvent(Out, "store_served",
+             {{"since_ms", std::to_string(S.Now_ - From)},
+              {"last_read_ms", std::to_string(S.Now_ - Known.Until_)},
+              {"outage", ReadThroughOutage ? "no" : "yes"}});
+    Known.Since_ = From;
+  }
+  Known.Until_ = std::max(Known.Until_, To);
+}
+
 HostsMessage hostsMessage(const State &S) {
   HostsMessage Message;
   Message.Version_ = S.HostsVersion_;
   for (const Upstream &U : S.Upstreams_)
     if (U.InLatestList_)
       Message.Hosts_.push_back(U.Row_);
-  Message.RecoveredFor_ =
-      S.HostsRecoveredAt_ == 0 ? -1 : S.Now_ - S.HostsRecoveredAt_;
   return Message;
 }
 
 void onHostsMessage(State &S, const HostsMessage &Message, Effects &Out) {
   if (Message.Version_ <= S.HostsVersion_)
     return;
-  if (Message.RecoveredFor_ >= 0)
-    S.HostsRecoveredAt_ =
-        std::max(S.HostsRecoveredAt_, S.Now_ - Message.RecoveredFor_);
   adoptHostList(S, Message.Hosts_, Message.Version_, Out);
   S.HostsConfirmedAt_ = S.Now_;
   logEvent(Out, "host_list_told",
--- a/src/storereaders.h
+++ b/src/storereaders.h
@@ -20,6 +20,14 @@
 void mergeStoreState(State &S, const InstanceId &From,
                      const SummaryMessage &Message, Effects &Out);
 
+/// Records that the reads of one store reader, or of this process, did not fail
+/// for a time. The store had an outage only if no reader could read.
+/// @param From start of that time, in ms on this process's clock
+/// @param To last read
+/// @param Recovered the time began after a failed read
+void recordStoreService(State &S, Millis From, Millis To, bool Recovered,
+                        Effects &Out);
+
 /// @return true if a store reader has read the operator log recently, so that
 /// this process need not read it
 bool hasRecentOperatorRead(const State &S);
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -8,6 +8,7 @@
 #include "promptparts.h"
 #include "requestlimits.h"
 #include "router.h"
+#include "storereaders.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -26,9 +27,8 @@
 // Time without a store reader's confirmation of the list after which a process
 // that is no store reader reads it itself.
 constexpr Millis HostListConfirmationTimeout = 1200; // ms
-// Within this time after a store outage the repeated reads of this process
-// succeed. If peers have been reading longer, the store was not unavailable.
-constexpr Millis MinPeerReadTime = 1500; // ms
+// Longest time between two reads of a store reader, ms.
+constexpr Millis MaxReadGap = 2500;
 // Time after a store outage in which entries that expired are listed again.
 constexpr Millis RelistWindow = 2300;    // ms
 constexpr Millis NoticeReadPeriod = 250; // ms between reads
@@ -77,26 +77,22 @@
            {{"upstream", Row.Host_.Name_}, {"address", Row.Address_}});
 }
 
-/// Records the recovery of the store, after which entries that expired during
-/// the outage are listed again. It is no recovery if peers could read the store
-/// meanwhile: then only the reads of this process failed, and no entries
-/// expired.
-void recordHostListRecovery(State &S, Effects &Out) {
-  const bool PeersCouldRead =
-      S.PeersReadHostsSince_ != 0 &&
-      S.Now_ - S.PeersReadHostsSince_ >= MinPeerReadTime;
-  if (S.HostsFailingSince_ != 0) {
-    const Millis PeersReadFor =
-        S.PeersReadHostsSince_ == 0 ? 0 : S.Now_ - S.PeersReadHostsSince_;
-    logEvent(Out, "host_list_recovered",
-             {{"failing_ms", std::to_string(S.Now_ - S.HostsFailingSince_)},
-              {"peers_read_ms", std::to_string(PeersReadFor)},
-              {"missing_kept", PeersCouldRead ? "no" : "yes"}});
+/// Records that a read of the host list has succeeded.
+void recordHostListRead(State &S, Effects &Out) {
+  const bool Failing = S.HostsFailingSince_ != 0;
+  // Between two reads that are far apart the store may have been unavailable.
+  if (Failing || S.HostsCompleteAt_ < 0 ||
+      S.Now_ - S.HostsCompleteAt_ > MaxReadGap) {
+    S.HostsReadableSince_ = S.Now_;
+    S.HostsRecovered_ = Failing;
   }
-  if (S.HostsFailingSince_ != 0 && !PeersCouldRead)
-    S.HostsRecoveredAt_ = S.Now_;
+  if (Failing)
+    logEvent(
+        Out, "host_list_recovered",
+        {{"failing_ms", std::to_string(S.Now_ - S.HostsFailingSince_)},
+         {"others_read_ms", std::to_string(S.Now_ - S.StoreService_.Until_)}});
   S.HostsFailingSince_ = 0;
-  S.PeersReadHostsSince_ = 0;
+  recordStoreService(S, S.HostsReadableSince_, S.Now_, S.HostsRecovered_, Out);
 }
 
 /// Stops new work to a host that is missing from the host list.
@@ -108,26 +104,32 @@
             {"missing_ms", std::to_string(S.Now_ - U.MissingSince_)}});
 }
 
-/// Stops new work to a host that is missing from the host list. On the platform
-/// the host keeps getting work for a time after a store outage, in which
-/// expired entries are listed again.
+/// @return true while entries that expired during an outage of the platform's
+///   store may be listed again
+bool mayBeListedAgain(const State &S) {
+  return S.Settings_.servesPlatform() && S.StoreService_.Since_ != 0 &&
+         S.Now_ - S.StoreService_.Since_ < RelistWindow;
+}
+
+/// Stops new work to a host that is missing from the host list, unless it may
+/// be listed again.
 void recordMissingHost(State &S, Upstream &U, Effects &Out) {
   if (U.MissingSince_ == 0) {
     U.MissingSince_ = S.Now_;
     logEvent(Out, "upstream_missing", {{"upstream", U.Row_.Host_.Name_}});
   }
-  const bool RecentlyRecovered =
-      S.HostsRecoveredAt_ != 0 && S.Now_ - S.HostsRecoveredAt_ < RelistWindow;
-  if (!RecentlyRecovered || !S.Settings_.servesPlatform())
+  if (mayBeListedAgain(S))
+    S.MissingHostsKept_ = true;
+  else
     unlistHost(S, U, Out);
 }
 
-/// Stops new work to hosts that are still missing when the time after an outage
-/// has passed, whether or not a list arrives then.
+/// Stops new work to hosts that are still missing when they can no longer be
+/// listed again, whether or not a list arrives then.
 void tickMissingHosts(State &S, Effects &Out) {
-  if (S.HostsRecoveredAt_ == 0 || S.Now_ - S.HostsRecoveredAt_ < RelistWindow)
+  if (!S.MissingHostsKept_ || mayBeListedAgain(S))
     return;
-  S.HostsRecoveredAt_ = 0;
+  S.MissingHostsKept_ = false;
   for (Upstream &U : S.Upstreams_)
     if (U.MissingSince_ != 0 && U.Listed_)
       unlistHost(S, U, Out);
@@ -203,7 +205,7 @@
 }
 
 void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
-  recordHostListRecovery(S, Out);
+  recordHostListRead(S, Out);
   S.HostsReadAt_ = S.Now_;
   // A slow read may return an older list than one that a peer has sent since.
   if (E.Version_ != 0 && E.Version_ < S.HostsVersion_)
