Host list: a process whose own reads fail asks a peer with a newer list, in a cluster of any size

What callers saw: a process that the store refused went on sending to a removed host although its peers had told it that they had a newer list.

A process that reads its lists itself asks nobody, so calm clusters send no more than before.

--- a/src/storereaders.cpp
+++ b/src/storereaders.cpp
@@ -97,11 +97,13 @@
       std::max(S.OperatorLog_.StoreReaderReadAt_, ConfigReadAt);
 }
 
-/// Requests the host list of a peer that uses a newer one, in a large cluster.
-/// A list with equal contents needs only its version.
+/// Requests the host list of a peer that uses a newer one, in a large cluster
+/// or if this process cannot read it. A list with equal contents needs only its
+/// version.
 void requestNewerHostList(State &S, const InstanceId &From,
                           const SummaryMessage &Message, Effects &Out) {
-  if (Message.UsedHostsVersion_ <= S.HostsVersion_ || !isLargeCluster(S))
+  const bool ReadsItself = !isLargeCluster(S) && S.HostsFailingSince_ == 0;
+  if (Message.UsedHostsVersion_ <= S.HostsVersion_ || ReadsItself)
     return;
   if (Message.UsedHostsHash_ == hostsHash(S)) {
     S.HostsVersion_ = Message.UsedHostsVersion_;
