Control log: processes of a large cluster no longer read the whole log in the same second

Every process but the store readers reads it again each 60 s, so all 119 read the newest record of every key in the same second.

--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -225,6 +225,15 @@
   });
 }
 
+/// Processes that start together must not go on reading together: their reads
+/// of the whole log would delay all other reads of the store.
+/// @return a time from half of the mean period to one and a half, by name
+Millis spreadReadPeriod(const State &S, Millis MeanPeriod) {
+  const auto Spread = static_cast<Millis>(
+      storeReaderRank(S.Self_.Name_) % static_cast<std::uint64_t>(MeanPeriod));
+  return MeanPeriod / 2 + Spread;
+}
+
 /// On the platform each new record ends the waiting read of every reader.
 /// Processes that are not store readers therefore read rarely and get shares
 /// from their peers. Store readers read at a minimum interval, so that records
@@ -235,8 +244,9 @@
   const Millis Elapsed = S.Now_ - S.Log_.ReadStartedAt_;
   if (isStoreReader(S))
     return Elapsed >= StoreReaderReadPeriod;
-  return Elapsed >= (isLargeCluster(S) ? LargeClusterNonReaderReadPeriod
-                                       : NonReaderReadPeriod);
+  return Elapsed >= (isLargeCluster(S)
+                         ? spreadReadPeriod(S, LargeClusterNonReaderReadPeriod)
+                         : NonReaderReadPeriod);
 }
 
 /// Waits for a snapshot if records were lost to the log's retention.
--- a/tests/group_test.cpp
+++ b/tests/group_test.cpp
@@ -11,6 +11,7 @@
 #include <gtest/gtest.h>
 #include <memory>
 #include <numeric>
+#include <set>
 #include <utility>
 
 namespace endivewharf {
@@ -190,6 +191,21 @@
   EXPECT_LE(Group_->StoreCallCount_ - Calls, 20 * 12);
 }
 
+TEST_F(GroupTest, ownLogReads_ofAllProcesses_areSpreadOverTime) {
+  std::map<Millis, std::set<int>> ReadersBySecond;
+  Group_->EffectObserver_ = [&](int I, const Effect &E) {
+    if (std::holds_alternative<ReadLog>(E))
+      ReadersBySecond[Group_->Now_ / 1000].insert(I);
+  };
+  Group_->runFor(130000);
+  std::set<int> All;
+  for (const auto &[Second, Readers] : ReadersBySecond) {
+    EXPECT_LE(Readers.size(), ProcessCount / 10U) << "second " << Second;
+    All.insert(Readers.begin(), Readers.end());
+  }
+  EXPECT_EQ(All.size(), static_cast<std::size_t>(ProcessCount));
+}
+
 TEST_F(GroupTest, load_ofOneProcess_isKnownToAllOnce) {
   State &Busy = Group_->processState(17);
   Busy.Upstreams_[0].InFlight_ = 40;
