Host list: a process that stopped reading after a failure has seen no recovery

Cause: a process whose reads had failed in an earlier cut, and that others told the list since, still counted as failing; its next read, 13 s later, was published as the end of an outage, and all processes kept missing hosts for 2.3 s. Only a failure within the longest time between two reads counts now.

--- a/src/state.h
+++ b/src/state.h
@@ -642,6 +642,7 @@
   bool MissingHostsKept_ = false;
   /// Since when reads of the host list have failed; 0: the last one succeeded.
   Millis HostsFailingSince_ = 0;
+  Millis HostsFailedAt_ = 0; ///< Last failed read of the host list.
   Millis NoticesReadAt_ = -1; ///< Last read of reclaim notices; -1: never.
   bool Ready_ = false;
   /// When the numbers of calls to the platform were last logged.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -79,7 +79,9 @@
 
 /// Records that a read of the host list has succeeded.
 void recordHostListRead(State &S, Effects &Out) {
-  const bool Failing = S.HostsFailingSince_ != 0;
+  // A process that stopped reading after a failure has not seen the end of it.
+  const bool Failing =
+      S.HostsFailingSince_ != 0 && S.Now_ - S.HostsFailedAt_ <= MaxReadGap;
   // Between two reads that are far apart the store may have been unavailable.
   if (Failing || S.HostsCompleteAt_ < 0 ||
       S.Now_ - S.HostsCompleteAt_ > MaxReadGap) {
@@ -215,6 +217,7 @@
 }
 
 void onHostsReadFailed(State &S, Effects &Out) {
+  S.HostsFailedAt_ = S.Now_;
   if (S.HostsFailingSince_ != 0)
     return;
   S.HostsFailingSince_ = S.Now_;
--- a/tests/sums_test.cpp
+++ b/tests/sums_test.cpp
@@ -152,6 +152,8 @@
     advanceTime(50);
     if (I % 5 == 0)
       receiveAllSummaries(0, 0);
+    if (I % 20 == 0)
+      reduceEvent(HostsReadFailed{});
   }
   std::vector<HostRow> Remaining = makeHosts();
   Remaining.erase(Remaining.begin());
