--- a/src/event.h
+++ b/src/event.h
@@ -133,6 +133,9 @@
 /// A configuration that operators have published in the operator log.
 struct PublishedConfiguration {
   std::string Text_; ///< INI text.
+  /// Number that the operators have given it; later ones are larger. Nothing:
+  /// its position in the log counts.
+  std::optional<std::int64_t> Version_;
 };
 
 /// An operator's request to roll a service out to hosts of another version.
--- a/src/types.h
+++ b/src/types.h
@@ -14,13 +14,32 @@
 using CallId = std::uint64_t;
 /// Number of one try of a call at one upstream, unique within this process.
 using AttemptId = std::uint64_t;
-/// Offset in one of the platform's logs; also the version of what the record at
-/// that offset publishes.
+/// Position in one of the platform's logs; also the version of what the record
+/// there publishes. The lower bits are the record's offset, the upper ones the
+/// era of the log: a log that is restored from a copy begins a new era, in
+/// which offsets are given out again. Positions of a later era are larger.
 using LogOffset = std::int64_t;
 
-/// Stands for no offset or no version.
+/// Stands for no position or no version.
 constexpr LogOffset NoOffset = -1;
 
+constexpr int EraShift = 40; // bits of a position that are the offset
+constexpr std::int64_t MaxEra = (std::int64_t{1} << 22) - 1;
+
+/// @param Era 0 to `MaxEra`; a log without eras has only era 0
+/// @param Offset at least 0, less than 2^EraShift
+constexpr LogOffset makePosition(std::int64_t Era, std::int64_t Offset) {
+  return Era << EraShift | Offset;
+}
+/// @return the era of a position; -1 for `NoOffset`
+constexpr std::int64_t eraOf(LogOffset Position) {
+  return Position >> EraShift;
+}
+/// @return the offset of a position within its era
+constexpr std::int64_t offsetIn(LogOffset Position) {
+  return Position & ((std::int64_t{1} << EraShift) - 1);
+}
+
 /// Largest number, of any unit, that is accepted from outside. Sums of a few
 /// such numbers do not overflow, and a double represents each exactly.
 constexpr std::int64_t MaxExternalNumber = 1'000'000'000'000'000;
--- a/standins/store.cpp
+++ b/standins/store.cpp
@@ -1,7 +1,7 @@
 // Stand-in for the platform's store: keyed topics with long polling,
 // conditional appends and retention. POST /control sets faults: outages,
-// appends that are carried out but never answered, and requests that are never
-// answered.
+// appends that are carried out but never answered, requests that are never
+// answered, and a return from a copy, which begins a new era.
 #include "web.h"
 
 #include <deque>
@@ -61,7 +61,7 @@
       return;
     }
     if (Outage_) {
-      Reply->sendJson(503, {{"error", "outage"}});
+      sendJson(Reply, 503, {{"error", "outage"}});
       return;
     }
     Topic &T = Topics_[queryParameter(R, "topic")];
@@ -74,7 +74,16 @@
     else if (R.Path_ == "/-/log-newest")
       sendNewestRecords(T, Reply);
     else
-      Reply->sendJson(404, {{"error", "no such path"}});
+      sendJson(Reply, 404, {{"error", "no such path"}});
+  }
+
+  void sendJson(const WebReplyPtr &Reply, int Status, const Json &Body) const {
+    addEra(Reply);
+    Reply->sendJson(Status, Body);
+  }
+
+  void addEra(const WebReplyPtr &Reply) const {
+    Reply->addHeader("Store-Era", std::to_string(Era_));
   }
 
   /// @return the parameter's value; "0" if the request has none of that name
@@ -102,6 +111,12 @@
     if (Body.value("forget", false))
       for (auto &[Name, T] : Topics_)
         dropHistory(T);
+    if (Body.value("copy", false))
+      Copy_ = Topics_;
+    if (Body.value("restore", false)) {
+      Topics_ = Copy_;
+      ++Era_;
+    }
   }
 
   /// Drops all records; the newest of each key is still served by log-newest.
@@ -116,7 +131,7 @@
     const std::int64_t FirstOffset = T.endOffset();
     if (R.Query_.count("at") > 0 &&
         std::stoll(queryParameter(R, "at")) != FirstOffset) {
-      Reply->sendJson(412, {{"end", FirstOffset}});
+      sendJson(Reply, 412, {{"end", FirstOffset}});
       return;
     }
     std::string_view Remaining = R.Body_;
@@ -132,15 +147,15 @@
       UnansweredReplies_.push_back(Reply);
       return;
     }
-    Reply->sendJson(200, {{"offset", FirstOffset}, {"end", T.endOffset()}});
+    sendJson(Reply, 200, {{"offset", FirstOffset}, {"end", T.endOffset()}});
   }
 
   void readRecords(const std::string &Name, std::int64_t From,
                    std::int64_t DeadlineMs, const WebReplyPtr &Reply) {
     ++ReadCount_;
     const Topic &T = Topics_[Name];
-    if (From < T.FirstRetainedOffset_) {
-      Reply->sendJson(410, {{"first", T.FirstRetainedOffset_}});
+    if (From < T.FirstRetainedOffset_ || From > T.endOffset()) {
+      sendJson(Reply, 410, {{"first", T.FirstRetainedOffset_}});
       return;
     }
     if (From >= T.endOffset() && nowMs() < DeadlineMs && !Unresponsive_ &&
@@ -159,6 +174,7 @@
           T.Records_[static_cast<std::size_t>(Offset - T.FirstRetainedOffset_)];
       Bytes += encodeBigEndian(Record.size(), RecordLengthBytes) + Record;
     }
+    addEra(Reply);
     Reply->send(200, "application/octet-stream", std::move(Bytes));
   }
 
@@ -187,12 +203,14 @@
              {"value", restinio::utils::base64::encode(
                            {Entry.second.data(), Entry.second.size()})},
              {"offset", Entry.first}});
-    Reply->sendJson(
-        200, {{"items", Items}, {"hasMore", false}, {"end", T.endOffset()}});
+    sendJson(Reply, 200,
+             {{"items", Items}, {"hasMore", false}, {"end", T.endOffset()}});
   }
 
   asio::io_context &Io_;
   std::map<std::string, Topic> Topics_;
+  std::map<std::string, Topic> Copy_;
+  std::int64_t Era_ = 1;
   /// Kept so that their connections stay open without an answer.
   std::vector<WebReplyPtr> UnansweredReplies_;
   std::int64_t AppendCount_ = 0;
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -27,6 +27,8 @@
     ASSERT_TRUE(startAll(Options)) << "logs are in " << Folder_;
   }
 
+  int NextId_ = 0;
+
   /// Sends a request for a stream with a prompt in parts.
   HttpAnswer sendPrompt(int Entry, const std::string &Id,
                         const std::string &Parts) const {
@@ -100,6 +102,49 @@
   EXPECT_EQ(Sound.Body_, completeStream());
 }
 
+TEST_F(PlatformProcessTest, store_backFromACopy_configurationAndHostsApply) {
+  const auto SendStoreControl = [&](const Json &Body) {
+    ASSERT_EQ(sendControl(StorePort_, Body).Status_, 200);
+  };
+  SendStoreControl({{"copy", true}});
+  Json Renamed = configJson(R"(["k1","k2"])");
+  Renamed["version"] = 2;
+  Renamed["routes"][0]["pathPrefix"] = "/renamed/";
+  ASSERT_TRUE(putRecord("keyed.op", "config", Renamed));
+  const auto RouteWorks = [&](const std::string &Path) {
+    return waitUntil(
+        [&] {
+          for (int I = 0; I < EntryCount; ++I)
+            if (sendGet(I, Path, "r" + std::to_string(++NextId_)).Status_ !=
+                200)
+              return false;
+          return true;
+        },
+        2500);
+  };
+  ASSERT_TRUE(RouteWorks("/renamed/1"));
+  SendStoreControl({{"outage", true}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  SendStoreControl({{"restore", true}, {"outage", false}});
+  std::this_thread::sleep_for(std::chrono::milliseconds(1000));
+  // The copy has the older configuration.
+  EXPECT_EQ(sendGet(0, "/renamed/2", "kept").Status_, 200);
+  Renamed["version"] = 3;
+  Renamed["routes"][0]["pathPrefix"] = "/again/";
+  ASSERT_TRUE(putRecord("keyed.op", "config", Renamed));
+  EXPECT_TRUE(RouteWorks("/again/1"));
+  registerServer(0, "draining");
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        const std::string Id = "d" + std::to_string(++NextId_);
+        sendGet(0, "/again/1", Id);
+        sendGet(1, "/again/1", Id + "b");
+        const Json Seen = fetchServerState(0)["seen"];
+        return !Seen.contains(Id) && !Seen.contains(Id + "b");
+      },
+      2500));
+}
+
 TEST_F(PlatformProcessTest, server_namesALimit_getsNoMoreUntilItEnds) {
   sendControl(ServerPorts_[0], {{"limit", "1.5"}});
   const auto RunCount = [&](int Server) {
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -3,6 +3,8 @@
 
 #include "samples.h"
 
+#include <algorithm>
+
 namespace endivewharf {
 
 namespace {
@@ -17,8 +19,8 @@
 
 } // namespace
 
-PlatformGroup::PlatformGroup(int Size, std::string Config)
-    : OperatorLog_{std::move(Config)} {
+PlatformGroup::PlatformGroup(int Size, std::string Config) {
+  publishConfig(std::move(Config));
   Processes_.resize(static_cast<std::size_t>(Size));
   for (int I = 0; I < Size; ++I) {
     Processes_[I].StartAt_ = Now_ + static_cast<Millis>(drawRandom() % 300);
@@ -122,15 +124,19 @@
     scheduleEvent(StoreCallTimeout, I, [] { return LogReadFailed{}; });
     return;
   }
-  const auto End = static_cast<LogOffset>(ControlLog_.size());
+  const auto &Log = Store_.ControlLog_;
+  const LogOffset End =
+      makePosition(Era_, static_cast<std::int64_t>(Log.size()));
   if (E.FromOffset_ >= End && Now_ < Until) {
     scheduleNextStep(I, [this, I, E, Until] { readControlLog(I, E, Until); });
     return;
   }
+  // In a new era all records are read again.
   LogRead Page{0, End, true, {}};
-  for (LogOffset Offset = E.FromOffset_; Offset < End; ++Offset)
+  for (LogOffset Offset = std::max(E.FromOffset_, makePosition(Era_, 0));
+       Offset < End; ++Offset)
     Page.Entries_.push_back(
-        {Offset, ControlLog_[static_cast<std::size_t>(Offset)]});
+        {Offset, Log[static_cast<std::size_t>(offsetIn(Offset))]});
   scheduleEvent(StoreCallTime, I, [Page] { return Page; });
 }
 
@@ -140,16 +146,18 @@
     scheduleEvent(StoreCallTimeout, I, [] { return OperatorLogReadFailed{}; });
     return;
   }
-  const auto End = static_cast<LogOffset>(OperatorLog_.size());
+  const auto &Log = Store_.OperatorLog_;
+  const LogOffset End =
+      makePosition(Era_, static_cast<std::int64_t>(Log.size()));
   if (E.FromOffset_ >= End && Now_ < Until) {
     scheduleNextStep(I, [this, I, E, Until] { readOperatorLog(I, E, Until); });
     return;
   }
   OperatorLogRead Page{End, {}};
-  for (LogOffset Offset = E.FromOffset_; Offset < End; ++Offset)
+  for (LogOffset Offset = std::max(E.FromOffset_, makePosition(Era_, 0));
+       Offset < End; ++Offset)
     Page.Entries_.push_back(
-        {Offset, PublishedConfiguration{
-                     OperatorLog_[static_cast<std::size_t>(Offset)]}});
+        {Offset, Log[static_cast<std::size_t>(offsetIn(Offset))]});
   scheduleEvent(StoreCallTime, I, [Page] { return Page; });
 }
 
@@ -160,11 +168,13 @@
     });
     return;
   }
+  auto &Log = Store_.ControlLog_;
   const bool Refused =
       E.ExpectedOffset_ != NoOffset &&
-      E.ExpectedOffset_ != static_cast<LogOffset>(ControlLog_.size());
+      E.ExpectedOffset_ !=
+          makePosition(Era_, static_cast<std::int64_t>(Log.size()));
   if (!Refused)
-    ControlLog_.insert(ControlLog_.end(), E.Records_.begin(), E.Records_.end());
+    Log.insert(Log.end(), E.Records_.begin(), E.Records_.end());
   scheduleEvent(StoreCallTime, I, [E, Refused] {
     return AppendEnded{E.AppendId_, !Refused, Refused};
   });
@@ -180,7 +190,7 @@
   Processes_[I].HostsReadUntil_ = Now_ + Duration;
   if (Reachable)
     scheduleEvent(Duration, I, [this] {
-      return HostsRead{Hosts_, HostsVersion_};
+      return HostsRead{Store_.Hosts_, makePosition(Era_, Store_.HostsEnd_)};
     });
   else
     scheduleEvent(Duration, I, [] { return HostsReadFailed{}; });
@@ -242,7 +252,7 @@
 void PlatformGroup::runFor(Millis Time, const std::function<void()> &EachStep) {
   for (const Millis End = Now_ + Time; Now_ < End;) {
     Now_ += StepDuration;
-    ++HostsVersion_; // Each heartbeat of a host writes a record.
+    ++Store_.HostsEnd_; // Each heartbeat of a host writes a record.
     while (!ScheduledTasks_.empty() && ScheduledTasks_.begin()->first <= Now_) {
       const std::function<void()> Next =
           std::move(ScheduledTasks_.begin()->second);
@@ -271,13 +281,41 @@
   Processes_[I].FrozenUntil_ = Now_ + Time;
 }
 
+void PlatformGroup::appendOperatorRecord(
+    decltype(OperatorEntry::Content_) Record) {
+  OperatorRecordsSinceCopy_.push_back(Record);
+  Store_.OperatorLog_.push_back(std::move(Record));
+}
+
 void PlatformGroup::publishConfig(std::string Config) {
-  OperatorLog_.push_back(std::move(Config));
+  appendOperatorRecord(
+      PublishedConfiguration{std::move(Config), NextConfigVersion_++});
+}
+
+void PlatformGroup::requestRollout(const RolloutRequest &Request) {
+  appendOperatorRecord(Request);
+}
+
+void PlatformGroup::writeOperatorLogAgain() {
+  const auto Records = std::move(OperatorRecordsSinceCopy_);
+  OperatorRecordsSinceCopy_.clear();
+  for (const auto &Record : Records)
+    appendOperatorRecord(Record);
+}
+
+void PlatformGroup::copyStore() {
+  Copy_ = Store_;
+  OperatorRecordsSinceCopy_.clear();
+}
+
+void PlatformGroup::restoreStore() {
+  Store_ = Copy_;
+  ++Era_;
 }
 
 void PlatformGroup::setHosts(std::vector<HostRow> Hosts) {
-  Hosts_ = std::move(Hosts);
-  ++HostsVersion_;
+  Store_.Hosts_ = std::move(Hosts);
+  ++Store_.HostsEnd_;
 }
 
 bool PlatformGroup::sendRequest(int I, const std::string &Path,
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -41,8 +41,16 @@
   /// afterwards.
   void freezeProcess(int I, Millis Time);
 
-  /// Appends a configuration to the operator log.
+  /// Appends a configuration to the operator log, with the next version.
   void publishConfig(std::string Config);
+  /// Appends an operator's request to the operator log.
+  void requestRollout(const RolloutRequest &Request);
+  /// Appends again what was appended to the operator log since the last copy.
+  void writeOperatorLogAgain();
+  /// Keeps a copy of all logs and of the list of hosts in the store.
+  void copyStore();
+  /// Puts the copy in the place of what the store holds and begins a new era.
+  void restoreStore();
   /// Replaces the list of hosts in the store.
   void setHosts(std::vector<HostRow> Hosts);
 
@@ -124,6 +132,7 @@
   void readOperatorLog(int I, const ReadOperatorLog &E, Millis Until);
   void appendToControlLog(int I, const AppendToLog &E);
   void readHosts(int I);
+  void appendOperatorRecord(decltype(OperatorEntry::Content_) Record);
   bool canReachStore(int I) const;
   bool canReach(int From, int To) const;
 
@@ -135,10 +144,19 @@
   /// Prompt tokens of the requests that were not dispatched yet, by request ID.
   std::map<std::string, double> WaitingTokens_;
   std::multimap<Millis, std::function<void()>> ScheduledTasks_;
-  std::vector<LogRecord> ControlLog_;
-  std::vector<std::string> OperatorLog_;
-  std::vector<HostRow> Hosts_;
-  LogOffset HostsVersion_ = 1;
+  /// What the store holds.
+  struct StoreContents {
+    std::vector<LogRecord> ControlLog_;
+    std::vector<decltype(OperatorEntry::Content_)> OperatorLog_;
+    std::vector<HostRow> Hosts_;
+    std::int64_t HostsEnd_ = 1; ///< Number of records of hosts.
+  };
+  StoreContents Store_;
+  StoreContents Copy_;
+  /// Records of the operator log that operators have written since the copy.
+  std::vector<decltype(OperatorEntry::Content_)> OperatorRecordsSinceCopy_;
+  std::int64_t Era_ = 1;
+  std::int64_t NextConfigVersion_ = 0;
   CallId NextCallId_ = 1;
   std::uint64_t RandomState_ = 88172645463325252ULL;
 
