Restored store: positions are ordered by the store's era, configurations by their operators

Cause: offsets were taken to grow for ever.

A position in a log is the era and the offset, ordered as a pair wherever it is compared: reads, host lists among peers, fencing tokens, orders of rollouts. Answers of an ended era are dropped; a new era is read anew from its newest records. The configuration is ordered by the operators' own version. When an era begins, no lease of an earlier one is believed and all challengers wait, whoever held it: the copy may lack the record that gave it away. An order that is written again keeps its state and takes the new position as its name. Entries that the copy lacks are kept for the time in which hosts write again; a host that had gone is not used because the copy lists it.

The check for a configuration that falls counted a process that starts; corrected.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -340,6 +340,7 @@
   F("previous", R.PreviousOffset_);
   F("length_ms", R.Duration_);
   F("nonce", R.Nonce_);
+  F("era", R.Era_);
 }
 template <SameIgnoringConst<LeaseRenewRecord> T, typename V>
 void visitFields(T &R, V &&F) {
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -12,6 +12,7 @@
 #include "membership.h"
 #include "promptparts.h"
 #include "release.h"
+#include "restore.h"
 #include "rollout.h"
 #include "usage.h"
 
@@ -206,7 +207,7 @@
 bool isSuperseded(const State &S, const LogRecord &Record) {
   const LeaseState &L = S.Lease_;
   if (const auto *Usage = std::get_if<UsageRecord>(&Record))
-    return S.Usage_.DecidedCounts_.count(Usage->Window_) > 0;
+    return isDecidedOtherwise(S, *Usage);
   if (const auto *Acquire = std::get_if<LeaseAcquireRecord>(&Record))
     return Acquire->PreviousOffset_ != L.LastRecordOffset_;
   if (const auto *Renew = std::get_if<LeaseRenewRecord>(&Record))
@@ -274,10 +275,17 @@
   S.Log_.Reading_ = false;
   S.Log_.Available_ = true;
   handleMissedRecords(S, E.EarliestOffset_);
+  const bool NewEra = S.Log_.NextOffset_ != 0 &&
+                      eraOf(E.NextOffset_) > eraOf(S.Log_.NextOffset_);
+  recordEra(S, E.NextOffset_, Out);
+  if (NewEra)
+    beginLogEra(S, Out);
   for (const LogEntry &Entry : E.Entries_)
     if (Entry.Offset_ >= S.Log_.NextOffset_)
       applyLogEntry(S, Entry, Out);
   S.Log_.NextOffset_ = std::max(S.Log_.NextOffset_, E.NextOffset_);
+  if (NewEra)
+    writeMissingRecords(S, E.Entries_);
   if (E.AtTail_) {
     S.Log_.ReachedTail_ = true;
     S.Log_.TailReadStartedAt_ = S.Log_.ReadStartedAt_;
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -6,6 +6,7 @@
 #include "diagnostics.h"
 #include "membership.h"
 
+#include <algorithm>
 #include <fmt/format.h>
 
 namespace endivewharf {
@@ -59,6 +60,23 @@
   S.Lease_.Released_ = Released;
 }
 
+/// @param WrittenIn era of the log in which a lease record was written
+/// @return true if the record is only there because the log was restored from a
+///   copy, or was appended late. It says nothing about who holds the lease now.
+bool isOfEndedEra(const State &S, LogOffset Offset, std::int64_t WrittenIn) {
+  return S.Settings_.servesPlatform() && WrittenIn < eraOf(Offset);
+}
+
+/// Starts the wait of all challengers, unless a lease of this era is known: a
+/// record that the copy lacks may have given the lease to anybody.
+void applyEndedLease(State &S, LogOffset Offset, Millis Duration) {
+  if (eraOf(S.Lease_.Epoch_) >= eraOf(Offset))
+    return;
+  S.Lease_.Holder_ = {};
+  S.Lease_.HeldUntil_ = 0;
+  recordLeaseUpdate(S, Offset, Duration, false);
+}
+
 /// Extends this process's lease if the record is the one that it sent last. The
 /// lease counts from the time of sending, not of reading.
 void extendOwnLease(State &S, const InstanceId &Holder, std::uint64_t Nonce,
@@ -103,6 +121,10 @@
 
 void applyLeaseAcquire(State &S, LogOffset Offset, const LeaseAcquireRecord &R,
                        Effects &Out) {
+  if (isOfEndedEra(S, Offset, R.Era_)) {
+    applyEndedLease(S, Offset, R.Duration_);
+    return;
+  }
   // On the platform the append itself is conditional on the writer having read
   // all earlier records, while a reader may have missed some of them.
   if (R.PreviousOffset_ != S.Lease_.LastRecordOffset_ &&
@@ -125,6 +147,10 @@
 
 void applyLeaseRenew(State &S, LogOffset Offset, const LeaseRenewRecord &R,
                      Effects &) {
+  if (isOfEndedEra(S, Offset, eraOf(R.Epoch_))) {
+    applyEndedLease(S, Offset, R.Duration_);
+    return;
+  }
   if (R.Epoch_ < S.Lease_.Epoch_)
     return;
   if (R.Epoch_ > S.Lease_.Epoch_) {
@@ -159,7 +185,22 @@
   }
   if (hasLeaseEnded(S))
     queueLogRecord(S, LeaseAcquireRecord{S.Self_, Lease.LastRecordOffset_,
-                                         Duration, startLeaseAppend(S)});
+                                         Duration, startLeaseAppend(S),
+                                         eraOf(S.Log_.NextOffset_)});
+}
+
+void endLeasesOfEarlierEras(State &S) {
+  LeaseState &Lease = S.Lease_;
+  std::erase_if(S.Log_.Outbox_, [](const LogRecord &R) {
+    return std::holds_alternative<LeaseAcquireRecord>(R) ||
+           std::holds_alternative<LeaseRenewRecord>(R);
+  });
+  Lease.Holder_ = {};
+  Lease.HeldUntil_ = 0;
+  Lease.Nonce_ = 0;
+  recordLeaseUpdate(
+      S, std::max<LogOffset>(Lease.LastRecordOffset_, 0),
+      std::max(Lease.Duration_, S.Settings_.Limits_.LeaseDuration_), false);
 }
 
 void releaseLease(State &S) {
--- a/src/lease.h
+++ b/src/lease.h
@@ -24,6 +24,11 @@
 /// if the lease has ended.
 void tickLease(State &S, Effects &Out);
 
+/// Regards no lease as valid, and lets all challengers wait as if one had just
+/// been renewed. Called when the log was restored from a copy: a record that
+/// the copy lacks may have given the lease to anybody.
+void endLeasesOfEarlierEras(State &S);
+
 /// Queues a record that releases the lease, if this process is its holder.
 /// Called before the process ends.
 void releaseLease(State &S);
--- a/src/messages.h
+++ b/src/messages.h
@@ -442,6 +442,7 @@
       NoOffset; ///< Last lease record that the writer read.
   Millis Duration_ = 0;
   std::uint64_t Nonce_ = 0; ///< Identifies the record to its writer.
+  std::int64_t Era_ = 0;    ///< Era of the log when it was written.
 };
 
 /// Renews or releases the control lease.
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -6,6 +6,7 @@
 #include "controllog.h"
 #include "diagnostics.h"
 #include "membership.h"
+#include "restore.h"
 #include "rollout.h"
 #include "storereaders.h"
 
@@ -28,7 +29,8 @@
   Effects &Out_;
 
   void operator()(const PublishedConfiguration &Published) const {
-    adoptConfiguration(S_, Offset_, Published.Text_, "store", Out_);
+    adoptConfiguration(S_, Published.Version_.value_or(Offset_),
+                       Published.Text_, "store", Out_);
   }
   void operator()(const RolloutRequest &Request) const {
     applyRolloutRequest(S_, Offset_, Request, Out_);
@@ -45,6 +47,7 @@
   Log.Available_ = true;
   Log.ReachedTail_ = true;
   Log.LastReadAt_ = S.Now_;
+  recordEra(S, E.NextOffset_, Out);
   for (const OperatorEntry &Entry : E.Entries_)
     std::visit(OperatorEntryVisitor{S, Entry.Offset_, Out}, Entry.Content_);
   Log.NextOffset_ = E.NextOffset_;
--- a/src/release.cpp
+++ b/src/release.cpp
@@ -251,7 +251,12 @@
 }
 
 void applyRolloutShare(State &S, const ShareRecord &R, Effects &Out) {
-  S.Release_.Shares_[{R.NoteVersion_, R.Model_}] = R.Share_;
+  // On the platform a share only grows. A smaller one comes from a copy of the
+  // log that is older than what is known.
+  double &Known = S.Release_.Shares_[{R.NoteVersion_, R.Model_}];
+  if (S.Settings_.servesPlatform() && R.Share_ < Known)
+    return;
+  Known = R.Share_;
   const auto Found = S.Release_.Rollouts_.find(R.Model_);
   if (Found == S.Release_.Rollouts_.end() ||
       Found->second.Row_.NoteVersion_ != R.NoteVersion_ ||
--- a/src/rollout.cpp
+++ b/src/rollout.cpp
@@ -7,7 +7,9 @@
 #include "controllog.h"
 #include "diagnostics.h"
 #include "lease.h"
+#include "membership.h"
 #include "release.h"
+#include "restore.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -49,6 +51,9 @@
   Rollout.Row_ = std::move(Row);
   Rollout.StartedAt_ = S.Now_;
   Rollout.ShareChangedAt_ = S.Now_;
+  S.Release_.Orders_.insert_or_assign(
+      {Rollout.Row_.Model_, Rollout.Row_.ToVersion_},
+      Rollout.Row_.NoteVersion_);
   restoreKnownOutcome(S, Rollout);
   logEvent(Out, "move_started",
            {{"note", Rollout.Row_.NoteId_},
@@ -67,6 +72,45 @@
          Found->second.Row_.NoteVersion_ >= Note;
 }
 
+/// An order that is written again after a restore has a new position. It is the
+/// same order if it was known in an earlier era.
+bool isOrderWrittenAgain(const State &S, const std::string &Service,
+                         const std::string &ToVersion, LogOffset Note) {
+  const auto Found = S.Release_.Orders_.find({Service, ToVersion});
+  return Found != S.Release_.Orders_.end() && isEraNew(S) &&
+         eraOf(Found->second) < eraOf(Note);
+}
+
+/// Takes the newest position of the service's order as its name, so that
+/// processes that know only this one agree with those that knew it before.
+/// @return false if the order is not the service's last one
+bool renameRollout(State &S, const std::string &Service,
+                   const std::string &ToVersion, LogOffset Note, Effects &Out) {
+  const auto Found = S.Release_.Rollouts_.find(Service);
+  if (Found == S.Release_.Rollouts_.end() ||
+      Found->second.Row_.ToVersion_ != ToVersion)
+    return false;
+  RolloutRow &Row = Found->second.Row_;
+  if (Row.NoteVersion_ >= Note)
+    return true;
+  logEvent(Out, "move_renamed",
+           {{"service", Service},
+            {"to", ToVersion},
+            {"note", std::to_string(Note)},
+            {"before", Row.NoteId_}});
+  Row.NoteVersion_ = Note;
+  Row.NoteId_ = std::to_string(Note);
+  if (Row.Share_ > 0)
+    S.Release_.Shares_[{Note, Service}] = Row.Share_;
+  if (!Row.RolledBack_)
+    return true;
+  const BadVersionFact Fact{Note, Service, Row.Reason_};
+  rollBackVersion(S, Fact, Out);
+  if (isStoreReader(S))
+    queueLogRecord(S, VerdictRecord{Fact});
+  return true;
+}
+
 /// Number of listed hosts with the new version that are not leaving.
 int usableNewVersionHosts(const State &S, const RolloutState &Rollout) {
   return static_cast<int>(std::count_if(
@@ -149,6 +193,10 @@
                          const RolloutRequest &Request, Effects &Out) {
   if (isRolloutKnown(S, Request.Service_, Offset))
     return;
+  if (isOrderWrittenAgain(S, Request.Service_, Request.ToVersion_, Offset)) {
+    renameRollout(S, Request.Service_, Request.ToVersion_, Offset, Out);
+    return;
+  }
   startRollout(S,
                {Offset, std::to_string(Offset), S.UnixMs_ + Request.Duration_,
                 Request.Service_, "", Request.ToVersion_, 0, false, ""},
@@ -158,16 +206,27 @@
 void adoptServiceRollouts(State &S, const std::vector<RolloutRow> &Rows,
                           Effects &Out) {
   for (const RolloutRow &Row : Rows) {
-    if (!isRolloutKnown(S, Row.Model_, Row.NoteVersion_))
-      startRollout(S, Row, Out);
+    if (!isRolloutKnown(S, Row.Model_, Row.NoteVersion_)) {
+      if (!isOrderWrittenAgain(S, Row.Model_, Row.ToVersion_, Row.NoteVersion_))
+        startRollout(S, Row, Out);
+      else if (!renameRollout(S, Row.Model_, Row.ToVersion_, Row.NoteVersion_,
+                              Out))
+        continue; // An order of the copy that a later one has replaced.
+    }
     RolloutState &Rollout = S.Release_.Rollouts_.at(Row.Model_);
-    if (Rollout.Row_.NoteVersion_ == Row.NoteVersion_ &&
-        Row.Share_ > Rollout.Row_.Share_) {
+    const bool SameOrder =
+        Rollout.Row_.NoteVersion_ == Row.NoteVersion_ ||
+        (Rollout.Row_.ToVersion_ == Row.ToVersion_ && isEraNew(S) &&
+         eraOf(Row.NoteVersion_) < eraOf(Rollout.Row_.NoteVersion_));
+    if (SameOrder && Row.Share_ > Rollout.Row_.Share_) {
       Rollout.Row_.Share_ = Row.Share_;
       Rollout.ShareChangedAt_ = S.Now_;
     }
     if (Row.RolledBack_)
-      rollBackVersion(S, {Row.NoteVersion_, Row.Model_, Row.Reason_}, Out);
+      rollBackVersion(S,
+                      {SameOrder ? Rollout.Row_.NoteVersion_ : Row.NoteVersion_,
+                       Row.Model_, Row.Reason_},
+                      Out);
   }
 }
 
--- a/src/state.h
+++ b/src/state.h
@@ -285,6 +285,7 @@
 };
 
 struct ConfigState {
+  /// The operators' number or, if they give none, the position in the log.
   LogOffset Version_ = NoOffset;
   std::string Text_;
   Configuration Configuration_;
@@ -388,6 +389,9 @@
   std::map<std::pair<LogOffset, std::string>, BadVersionFact> BadVersionFacts_;
   /// Shares by note and model, including rollouts that are not known yet.
   std::map<std::pair<LogOffset, std::string>, double> Shares_;
+  /// First position of each order of a rollout on the platform, by service and
+  /// version.
+  std::map<std::pair<std::string, std::string>, LogOffset> Orders_;
   /// Totals over windows that have ended, by note, model, version, route, data
   /// centre and observer.
   std::map<std::string, EvidenceRow> ClosedWindowEvidence_;
@@ -564,6 +568,9 @@
 
 /// Time in which the platform's store has served reads.
 struct StoreService {
+  std::int64_t Era_ = -1; ///< Era of its logs; -1: not known yet.
+  /// When this process learnt of that era; 0: it knows no earlier one.
+  Millis EraBeganAt_ = 0;
   Millis Since_ = 0; ///< End of the last known outage; 0: none.
   Millis Until_ = 0; ///< Last read by this process or a store reader.
 };
@@ -640,9 +647,11 @@
   StoreService StoreService_;
   /// A missing host still gets work, because the store has just recovered.
   bool MissingHostsKept_ = false;
+  /// A listed host gets no work, because only a copy of the store lists it.
+  bool CopiedHostsHeldBack_ = false;
   /// Since when reads of the host list have failed; 0: the last one succeeded.
   Millis HostsFailingSince_ = 0;
-  Millis HostsFailedAt_ = 0; ///< Last failed read of the host list.
+  Millis HostsFailedAt_ = 0;  ///< Last failed read of the host list.
   Millis NoticesReadAt_ = -1; ///< Last read of reclaim notices; -1: never.
   bool Ready_ = false;
   /// When the numbers of calls to the platform were last logged.
--- a/src/storereaders.cpp
+++ b/src/storereaders.cpp
@@ -6,6 +6,7 @@
 #include "aggregators.h"
 #include "diagnostics.h"
 #include "membership.h"
+#include "restore.h"
 #include "upstreams.h"
 
 #include <algorithm>
@@ -85,8 +86,10 @@
     return;
   Known.Row_ = Row;
   Known.HostsReadAt_ = HostsReadAt;
-  recordStoreService(S, HostsReadAt - Row.HostsReadableFor_, HostsReadAt,
-                     Row.HostsRecovered_, Out);
+  recordEra(S, Row.HostsVersion_, Out);
+  if (eraOf(Row.HostsVersion_) == S.StoreService_.Era_)
+    recordStoreService(S, HostsReadAt - Row.HostsReadableFor_, HostsReadAt,
+                       Row.HostsRecovered_, Out);
   mergeHostListState(S, Row, Out);
   if (Row.ConfigAge_ < 0 || Row.ConfigVersion_ > S.Config_.Version_)
     return;
@@ -219,6 +222,7 @@
 void onHostsMessage(State &S, const HostsMessage &Message, Effects &Out) {
   if (Message.Version_ <= S.HostsVersion_)
     return;
+  recordEra(S, Message.Version_, Out);
   adoptHostList(S, Message.Hosts_, Message.Version_, Out);
   S.HostsConfirmedAt_ = S.Now_;
   logEvent(Out, "host_list_told",
--- a/src/types.h
+++ b/src/types.h
@@ -24,6 +24,7 @@
 constexpr LogOffset NoOffset = -1;
 
 constexpr int EraShift = 40; // bits of a position that are the offset
+constexpr std::int64_t MaxOffset = (std::int64_t{1} << EraShift) - 1;
 constexpr std::int64_t MaxEra = (std::int64_t{1} << 22) - 1;
 
 /// @param Era 0 to `MaxEra`; a log without eras has only era 0
@@ -37,7 +38,7 @@
 }
 /// @return the offset of a position within its era
 constexpr std::int64_t offsetIn(LogOffset Position) {
-  return Position & ((std::int64_t{1} << EraShift) - 1);
+  return Position & MaxOffset;
 }
 
 /// Largest number, of any unit, that is accepted from outside. Sums of a few
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -7,6 +7,7 @@
 #include "membership.h"
 #include "promptparts.h"
 #include "requestlimits.h"
+#include "restore.h"
 #include "router.h"
 #include "storereaders.h"
 
@@ -30,7 +31,9 @@
 // Longest time between two reads of a store reader, ms.
 constexpr Millis MaxReadGap = 2500;
 // Time after a store outage in which entries that expired are listed again.
-constexpr Millis RelistWindow = 2300;    // ms
+constexpr Millis RelistWindow = 2300; // ms
+// Time in which the entry of a dead host expires after a restore, ms.
+constexpr Millis CopiedEntryExpiry = 5000;
 constexpr Millis NoticeReadPeriod = 250; // ms between reads
 constexpr Millis ProbePeriod = 500;      // ms between probes of one upstream
 constexpr Millis RefusalBackoff = 100;   // ms
@@ -78,15 +81,16 @@
 }
 
 /// Records that a read of the host list has succeeded.
-void recordHostListRead(State &S, Effects &Out) {
+/// @param NewEra it is the first one since the store was restored from a copy
+void recordHostListRead(State &S, bool NewEra, Effects &Out) {
   // A process that stopped reading after a failure has not seen the end of it.
   const bool Failing =
       S.HostsFailingSince_ != 0 && S.Now_ - S.HostsFailedAt_ <= MaxReadGap;
   // Between two reads that are far apart the store may have been unavailable.
-  if (Failing || S.HostsCompleteAt_ < 0 ||
+  if (Failing || NewEra || S.HostsCompleteAt_ < 0 ||
       S.Now_ - S.HostsCompleteAt_ > MaxReadGap) {
     S.HostsReadableSince_ = S.Now_;
-    S.HostsRecovered_ = Failing;
+    S.HostsRecovered_ = Failing || NewEra;
   }
   if (Failing)
     logEvent(
@@ -137,6 +141,31 @@
       unlistHost(S, U, Out);
 }
 
+/// A host that had gone before the store was restored is listed again by the
+/// copy. It counts as gone until its entry has outlived the time in which that
+/// of a dead host expires.
+bool isOnlyInCopy(const State &S, const Upstream &U) {
+  const Millis EraBeganAt = S.StoreService_.EraBeganAt_;
+  return EraBeganAt != 0 && !U.Listed_ && U.MissingSince_ != 0 &&
+         U.MissingSince_ < EraBeganAt &&
+         S.Now_ - EraBeganAt < CopiedEntryExpiry;
+}
+
+/// Lets hosts work again whose entries have outlived a restore of the store.
+void tickCopiedHosts(State &S) {
+  if (!S.CopiedHostsHeldBack_ ||
+      S.Now_ - S.StoreService_.EraBeganAt_ < CopiedEntryExpiry)
+    return;
+  S.CopiedHostsHeldBack_ = false;
+  for (Upstream &U : S.Upstreams_) {
+    if (!U.InLatestList_ || U.Listed_)
+      continue;
+    U.Listed_ = true;
+    U.MissingSince_ = 0;
+    S.PoolsChanged_ = true;
+  }
+}
+
 /// On the platform only the store readers read the list periodically. Other
 /// processes read it when their list is outdated, or when no store reader has
 /// confirmed it for some time.
@@ -192,6 +221,10 @@
           S.PoolsChanged_ || !U.Listed_ || U.Row_.Version_ != Row.Version_;
       U.Row_ = Row;
       U.InLatestList_ = true;
+      if (isOnlyInCopy(S, U)) {
+        S.CopiedHostsHeldBack_ = true;
+        continue;
+      }
       U.Listed_ = true;
       U.MissingSince_ = 0;
     }
@@ -207,10 +240,16 @@
 }
 
 void onHostsRead(State &S, const HostsRead &E, Effects &Out) {
-  recordHostListRead(S, Out);
-  S.HostsReadAt_ = S.Now_;
   // A slow read may return an older list than one that a peer has sent since.
-  if (E.Version_ != 0 && E.Version_ < S.HostsVersion_)
+  const bool Older = E.Version_ != 0 && E.Version_ < S.HostsVersion_;
+  const bool EndedEra = Older && eraOf(E.Version_) < S.StoreService_.Era_;
+  recordEra(S, E.Version_, Out);
+  const bool NewEra =
+      S.HostsVersion_ != 0 && eraOf(E.Version_) > eraOf(S.HostsVersion_);
+  if (!EndedEra)
+    recordHostListRead(S, NewEra, Out);
+  S.HostsReadAt_ = S.Now_;
+  if (Older)
     return;
   adoptHostList(S, E.Hosts_, E.Version_, Out);
   S.HostsCompleteAt_ = S.Now_;
@@ -321,6 +360,7 @@
 
 void tickUpstreams(State &S, Effects &Out) {
   tickMissingHosts(S, Out);
+  tickCopiedHosts(S);
   if (isHostListReadDue(S)) {
     S.HostsReadAt_ = S.Now_;
     S.HostsOutdated_ = false;
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -211,6 +211,25 @@
   logEvent(Out, "usage_decided", {{"window", std::to_string(R.Window_)}});
 }
 
+std::vector<UsageRow> decidedRows(const State &S, std::int64_t Window) {
+  std::vector<UsageRow> Rows;
+  const auto Found = S.Usage_.DecidedCounts_.find(Window);
+  if (Found != S.Usage_.DecidedCounts_.end())
+    for (const auto &[Account, Count] : Found->second)
+      Rows.push_back({Window, Account, Count});
+  return Rows;
+}
+
+bool isDecidedOtherwise(const State &S, const UsageRecord &R) {
+  const auto Found = S.Usage_.DecidedCounts_.find(R.Window_);
+  if (Found == S.Usage_.DecidedCounts_.end())
+    return false;
+  UsageCounts Counts;
+  for (const UsageRow &Row : R.Rows_)
+    Counts[Row.Account_] = Row.Count_;
+  return Counts != Found->second;
+}
+
 void onUsageReportAnswered(State &S, const UsageReportAnswered &E,
                            Effects &Out) {
   if (S.Usage_.ReportingWindow_ == E.Window_)
--- a/src/usage.h
+++ b/src/usage.h
@@ -29,6 +29,12 @@
 /// counts.
 void applyDecidedUsage(State &S, const UsageRecord &R, Effects &Out);
 
+/// @return the decided counts of a window; empty if it is not decided
+std::vector<UsageRow> decidedRows(const State &S, std::int64_t Window);
+
+/// @return true if the window of a record has been decided with other counts
+bool isDecidedOtherwise(const State &S, const UsageRecord &R);
+
 /// Handles the platform's answer to a usage report.
 void onUsageReportAnswered(State &S, const UsageReportAnswered &E,
                            Effects &Out);
--- a/tests/fuzz.cpp
+++ b/tests/fuzz.cpp
@@ -146,7 +146,7 @@
     const auto ConfigText = platform::decodeConfiguration(Text);
     if (ConfigText)
       reduceEvent(OperatorLogRead{
-          Offset + 1, {{Offset, PublishedConfiguration{*ConfigText}}}});
+          Offset + 1, {{Offset, PublishedConfiguration{ConfigText->Text_}}}});
     ++Offset;
   });
 }
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -108,7 +108,6 @@
   };
   SendStoreControl({{"copy", true}});
   Json Renamed = configJson(R"(["k1","k2"])");
-  Renamed["version"] = 2;
   Renamed["routes"][0]["pathPrefix"] = "/renamed/";
   ASSERT_TRUE(putRecord("keyed.op", "config", Renamed));
   const auto RouteWorks = [&](const std::string &Path) {
@@ -129,7 +128,7 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(1000));
   // The copy has the older configuration.
   EXPECT_EQ(sendGet(0, "/renamed/2", "kept").Status_, 200);
-  Renamed["version"] = 3;
+  Renamed["version"] = Renamed["version"].get<int>() + 1;
   Renamed["routes"][0]["pathPrefix"] = "/again/";
   ASSERT_TRUE(putRecord("keyed.op", "config", Renamed));
   EXPECT_TRUE(RouteWorks("/again/1"));
--- a/tests/platformcluster.cpp
+++ b/tests/platformcluster.cpp
@@ -1,6 +1,8 @@
 // Starts the processes of the platform cluster and sends requests to them.
 #include "platformcluster.h"
 
+#include <atomic>
+
 #include <filesystem>
 #include <fmt/format.h>
 #include <fstream>
@@ -87,6 +89,7 @@
 
 Json PlatformCluster::configJson(const std::string &Keys,
                                  const std::string &CheckService) {
+  static std::atomic<int> LastVersion{0};
   const auto Route = [](const char *Name, const char *Path, const char *Kind,
                         const std::string &Service, int Attempts) {
     return Json{
@@ -96,7 +99,7 @@
         {"resumable", true}, {"public", false}};
   };
   return Json{
-      {"version", 1},
+      {"version", ++LastVersion},
       {"routes",
        Json::array({Route("check", "/check/", "idempotent", CheckService, 2),
                     Route("book", "/book/", "non_idempotent", "orders", 1),
--- a/tests/platformcluster.h
+++ b/tests/platformcluster.h
@@ -37,7 +37,8 @@
   /// killed.
   void startEntry(int I);
 
-  /// Builds a configuration with three routes and one account.
+  /// Builds a configuration with three routes and one account, with a version
+  /// above those built before.
   /// @param Keys API keys of the account, as a JSON array
   /// @param CheckService service of the route "check"
   static Json configJson(const std::string &Keys = R"(["k1","k2"])",
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -149,7 +149,9 @@
   void checkConfiguration(int I) {
     if (!Group_->isRunning(I))
       return;
-    LogOffset &Newest = NewestConfig_[{I, Group_->incarnation(I)}];
+    LogOffset &Newest =
+        NewestConfig_.try_emplace({I, Group_->incarnation(I)}, NoOffset)
+            .first->second;
     const LogOffset Now = Group_->processState(I).Config_.Version_;
     ConfigurationsThatFell_ += Now < Newest ? 1 : 0;
     Newest = std::max(Newest, Now);
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -2,6 +2,7 @@
 // input is decoded, and no input makes a decoder do more than report an error.
 #include "platform/wire.h"
 
+#include <fmt/format.h>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -72,8 +73,9 @@
       R"("apiKeys":["k1","k2"],"unit":"tokens","ratePerS":10,"burst":20},)"
       R"({"name":"m","apiKeys":[]}]})");
   ASSERT_TRUE(Text) << describe(Text.error());
-  const auto Config = parseConfiguration(*Text, "test");
-  ASSERT_TRUE(Config) << *Text << describe(Config.error().front());
+  const auto Config = parseConfiguration(Text->Text_, "test");
+  ASSERT_TRUE(Config) << Text->Text_ << describe(Config.error().front());
+  EXPECT_EQ(Text->Version_, 7);
   EXPECT_EQ(Config->Services_.at("s").Scaling_.ZonePrices_.at("b"), 1.2);
   EXPECT_EQ(Config->Services_.at("s").Scaling_.HostStartupDuration_, 4000);
   EXPECT_EQ(Config->AccountsByKey_.at("k2").Name_, "n");
@@ -87,7 +89,13 @@
 TEST(WireTest, configuration_wrongShape_isATypedError) {
   EXPECT_FALSE(decodeConfiguration("[]"));
   EXPECT_FALSE(decodeConfiguration(R"({"routes":[]})"));
-  EXPECT_FALSE(decodeConfiguration(R"({"routes":[{}],"services":[]})"));
+  EXPECT_FALSE(
+      decodeConfiguration(R"({"version":1,"routes":[{}],"services":[]})"));
+  for (const char *Version : {"-1", "1.5", "\"7\"", "1e300", "null",
+                              "18446744073709551615", "9007199254740993000"})
+    EXPECT_FALSE(decodeConfiguration(
+        fmt::format(R"({{"version":{},"routes":[],"services":[]}})", Version)))
+        << Version;
 }
 
 TEST(WireTest, numbers_beyondTheirTypes_neverWrap) {
@@ -99,8 +107,10 @@
   EXPECT_GT(Request->Duration_, 0);
   EXPECT_EQ(decodeNumber("9223372036854775807"), std::nullopt);
   const auto Text = decodeConfiguration(
-      R"({"routes":[],"services":[{"name":"s","maxConns":4294967297}]})");
-  EXPECT_FALSE(Text && parseConfiguration(*Text, "test"));
+      R"({"version":1,"routes":[],)"
+      R"("services":[{"name":"s","maxConns":4294967297}]})");
+  ASSERT_TRUE(Text);
+  EXPECT_FALSE(Text && parseConfiguration(Text->Text_, "test"));
 }
 
 TEST(WireTest, page_ofRecords_isReadAsWritten) {
