Odd entries: one item of a page of newest records no longer fails the whole page

Report of other operators: one odd entry among those of the hosts. Shown by tests: an item whose value is no string, or whose offset is odd, made the page fail each time, so the reader stopped following the topic; slots beyond an int wrapped to -1. Ruled out by tests: deep nesting, numbers that are too large, ports 0 and above 65535 are typed errors of that entry alone.

--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -113,6 +113,48 @@
   EXPECT_FALSE(Text && parseConfiguration(Text->Text_, "test"));
 }
 
+TEST(WireTest, newestPage_withOddItems_keepsTheOthers) {
+  for (const char *Odd :
+       {R"({"key":"a","value":7,"offset":1})",
+        R"({"key":"a","value":"eA==","offset":-1})",
+        R"({"key":"a","value":"eA==","offset":1.5})",
+        R"({"key":"a","value":"eA==","offset":18446744073709551615})",
+        R"({"key":[],"value":"eA==","offset":1})", R"({"offset":1})", "7",
+        R"({"key":"a","value":"not base64","offset":1})"}) {
+    const auto Page = decodeNewestPage(
+        fmt::format(R"({{"items":[{},{{"key":"b","value":"eA==","offset":2}}],)"
+                    R"("hasMore":false,"end":3}})",
+                    Odd));
+    ASSERT_TRUE(Page) << Odd;
+    ASSERT_FALSE(Page->Records_.empty()) << Odd;
+    EXPECT_EQ(Page->Records_.back().Key_, "b") << Odd;
+    EXPECT_EQ(Page->Records_.back().Value_, "x") << Odd;
+    EXPECT_TRUE(Page->Records_.size() == 1 ||
+                Page->Records_.front().Value_.empty())
+        << Odd;
+  }
+}
+
+TEST(WireTest, hostEntry_deepOrBeyondItsRange_namesNoHostToUse) {
+  const std::string Deep(100000, '[');
+  for (const auto &[From, To] :
+       std::vector<std::pair<std::string, std::string>>{
+           {R"("slots":6)", "\"slots\":" + Deep},
+           {R"("slots":6)", R"("slots":1e400)"},
+           {R"("slots":6)", R"("slots":-1)"},
+           {R"("born":17)", R"("born":1e30)"},
+           {"10.1.2.3:80", "10.1.2.3:0"},
+           {"10.1.2.3:80", "10.1.2.3:65536"},
+           {"10.1.2.3:80", "10.1.2.3:99999999999"}})
+    EXPECT_FALSE(decodeHost("i-1", replaceFirst(HostRecordJson, From, To)))
+        << To.substr(0, 30);
+  const auto Row =
+      decodeHost("i-1", replaceFirst(HostRecordJson, R"("slots":6)",
+                                     R"("slots":4294967295)"));
+  ASSERT_TRUE(Row);
+  EXPECT_GT(Row->Slots_, 0);
+}
+
 TEST(WireTest, page_ofRecords_isReadAsWritten) {
   std::string Bytes(16, '\0');
   Bytes[7] = 9;
