Refusals: only one that names the request is believed; a wrong answer closes its connection

Report of other operators: a faulty host wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for what had run. Shown by a test: a refusal, or a 421, without an id was believed for whatever request was waiting; and a wrong answer with an empty body left its connection in use, one answer behind. Both are an answer to another request now, which promises nothing, and the connection is closed at its head. One with another id was ruled out before and stays so.

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -293,8 +293,10 @@
   const HeadSink OnHead = std::move(T.OnHead_);
   // Trailers arrive in this callback as well and must not call the sink again.
   T.OnHead_ = nullptr;
-  OnHead(static_cast<int>(Status), T.AnswerHeaders_);
-  return Line.size();
+  if (OnHead(static_cast<int>(Status), T.AnswerHeaders_))
+    return Line.size();
+  T.Stopped_ = true;
+  return 0;
 }
 
 int HttpClient::onBeforeSend(void *User, char *, char *, int, int) {
--- a/src/client.h
+++ b/src/client.h
@@ -65,8 +65,9 @@
   return Result.End_ == TransferEnd::Complete && Result.Status_ == 200;
 }
 
-/// Receives the status and headers of an answer before its body.
-using HeadSink = std::function<void(int Status, const Headers &Head)>;
+/// Receives the status and headers of an answer before its body; returns false
+/// to stop the transfer and close its connection.
+using HeadSink = std::function<bool(int Status, const Headers &Head)>;
 /// Receives body bytes; returns false to stop the transfer.
 using BodySink = std::function<bool(int Status, std::string_view Bytes)>;
 using ResultSink = std::function<void(const HttpResult &)>;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -148,7 +148,13 @@
   /// @return the last event of an attempt that gets this body
   EventBody lastEvent(const std::string &Body, bool Stream,
                       std::int64_t ResumeAfter = NoEventIndex) {
-    ClosingServer Server(Head + Body);
+    return lastEventOf(Head + Body, Stream, ResumeAfter);
+  }
+
+  /// @return the last event of an attempt that gets this answer
+  EventBody lastEventOf(const std::string &Answer, bool Stream,
+                        std::int64_t ResumeAfter = NoEventIndex) {
+    ClosingServer Server(Answer);
     std::vector<EventBody> Events;
     HttpClient Client(Io_);
     UpstreamClient Upstreams(
@@ -168,6 +174,13 @@
     return Events.empty() ? EventBody(CallerDisconnected{}) : Events.back();
   }
 
+  static bool isNotRun(const EventBody &Body) {
+    const auto *Failed = std::get_if<AttemptFailed>(&Body);
+    return Failed != nullptr &&
+           (Failed->Failure_ == AttemptFailure::Refused ||
+            Failed->Failure_ == AttemptFailure::Misdirected);
+  }
+
   static bool isBreak(const EventBody &Body) {
     const auto *Failed = std::get_if<AttemptFailed>(&Body);
     return Failed != nullptr &&
@@ -237,6 +250,39 @@
   EXPECT_TRUE(std::holds_alternative<AttemptEnded>(lastEvent("", true, 7)));
 }
 
+TEST_F(ClosedAnswerTest, refusal_ofTheRequest_isBelieved) {
+  for (const char *Status : {"503 Busy", "429 Many", "421 Other"}) {
+    const EventBody Last =
+        lastEventOf(std::string("HTTP/1.1 ") + Status +
+                        "\r\nRequest-Id: r1\r\nNot-Executed: 1\r\n"
+                        "Content-Length: 0\r\n\r\n",
+                    false);
+    ASSERT_TRUE(std::holds_alternative<AttemptFailed>(Last)) << Status;
+    EXPECT_TRUE(isNotRun(Last)) << Status;
+  }
+}
+
+TEST_F(ClosedAnswerTest, refusal_thatNamesNoRequestOrAnother_saysNothing) {
+  for (const char *Id : {"", "Request-Id: r0\r\n"})
+    for (const char *Status : {"503 Busy", "429 Many", "421 Other"}) {
+      const EventBody Last =
+          lastEventOf(std::string("HTTP/1.1 ") + Status + "\r\n" + Id +
+                          "Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+                      false);
+      ASSERT_TRUE(std::holds_alternative<AttemptFailed>(Last)) << Status;
+      EXPECT_FALSE(isNotRun(Last)) << Status << " " << Id;
+    }
+}
+
+TEST_F(ClosedAnswerTest, resumedStream_answeredByAnError_isNoEvent) {
+  const EventBody Last =
+      lastEventOf("HTTP/1.1 500 Broken\r\nRequest-Id: r1\r\nServer-Seal: s\r\n"
+                  "Content-Length: 5\r\n\r\nerror",
+                  true, 7);
+  ASSERT_TRUE(std::holds_alternative<ServiceAnswer>(Last));
+  EXPECT_EQ(std::get<ServiceAnswer>(Last).Status_, 500);
+}
+
 TEST_P(LateCopyTest, nextRequest_onTheConnection_neverGetsTheCopy) {
   int CompleteAnswers = 0;
   for (const EventBody &Body : sendRequests(6)) {
