--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -214,6 +214,22 @@
   EXPECT_TRUE(firstEffect<FinishStream>());
 }
 
+TEST_F(RoutedTest, resumedStream_answeredByAnError_isCutWithoutItsText) {
+  for (const int Status : {400, 404, 500, 503}) {
+    const StartAttempt First = dispatchRequest("/report/1");
+    reduceEvent(AttemptHead{First.Attempt_, 200, {}});
+    reduceEvent(AttemptToken{First.Attempt_, 1, "id: 1\n\n"});
+    failAttempt(First.Attempt_, AttemptFailure::ConnectionBroken);
+    const auto Second = firstEffect<StartAttempt>();
+    ASSERT_TRUE(Second) << Status;
+    reduceEvent(ServiceAnswer{Second->Attempt_, Status, "", "error", {}});
+    EXPECT_TRUE(firstEffect<AbortCall>()) << Status;
+    EXPECT_FALSE(firstEffect<SendToken>()) << Status;
+    EXPECT_FALSE(firstEffect<SendRoutedAnswer>()) << Status;
+    EXPECT_FALSE(firstEffect<FinishStream>()) << Status;
+  }
+}
+
 TEST_F(RoutedTest, stream_eventMissing_isNeverPassedOnWithAGap) {
   const StartAttempt First = dispatchRequest("/report/1");
   reduceEvent(AttemptHead{First.Attempt_, 200, {}});
