--- a/tests/soak.cpp
+++ b/tests/soak.cpp
@@ -15,6 +15,7 @@
 DEFINE_int64(seed, 1, "seed of all random choices");
 DEFINE_double(minutes, 0.2, "duration of the fault phase, in minutes");
 DEFINE_int32(entries, 3, "number of entry processes");
+DEFINE_bool(restores, false, "also let the store come back from a copy");
 DEFINE_int32(servers, 4, "number of servers");
 DEFINE_int32(callers, 6,
              "number of callers, each on connections that are kept open");
@@ -35,6 +36,10 @@
 constexpr Millis ConfigCheckInterval = 150;
 /// Time after a server fault in which streams may still fail, in ms.
 constexpr Millis ServerFaultMargin = 5000;
+/// Time for which the store is away before it comes back from a copy, in ms.
+constexpr Millis RestoreOutage = 1500;
+/// Time from then until operators and servers write again, in ms.
+constexpr Millis WriteAgainDelay = 500;
 /// Number of the first API key that configurations replace.
 constexpr std::int64_t FirstExtraKey = 1;
 
@@ -97,6 +102,7 @@
   void stopEntry(int I, int Signal);
   void freezeEntry(int I, Millis Duration);
   void injectStoreFault(Millis Duration);
+  void restoreStore(Millis CopyAge);
   void injectRelayFault(Relay &R, Millis Duration);
   void injectServerFault(int I, Millis Duration);
   void replaceServer(int I, Millis Duration);
@@ -206,8 +212,10 @@
 void SoakRun::injectStoreFault(Millis Duration) {
   static constexpr std::array<const char *, 2> ControlKeys = {"outage",
                                                               "silent"};
-  const int Choice = drawIndex(4);
-  if (Choice == 2) {
+  const int Choice = drawIndex(FLAGS_restores ? 5 : 4);
+  if (Choice == 4) {
+    restoreStore(Duration);
+  } else if (Choice == 2) {
     sendControl(StorePort_, {{"lose_answers", 2}});
   } else if (Choice == 3) {
     sendControl(StorePort_, {{"forget", true}});
@@ -219,6 +227,22 @@
   }
 }
 
+/// The store comes back from a copy; then operators and servers write again.
+void SoakRun::restoreStore(Millis CopyAge) {
+  sendControl(StorePort_, {{"copy", true}});
+  scheduleTask(CopyAge, [this] {
+    sendControl(StorePort_, {{"outage", true}});
+    scheduleTask(RestoreOutage, [this] {
+      sendControl(StorePort_, {{"restore", true}, {"outage", false}});
+      scheduleTask(WriteAgainDelay, [this] {
+        publishNextConfiguration();
+        for (int I = 0; I < FLAGS_servers; ++I)
+          registerServer(I, "ready", ServerIncarnations_[I]);
+      });
+    });
+  });
+}
+
 void SoakRun::injectRelayFault(Relay &R, Millis Duration) {
   constexpr std::array Faults = {RelayFault::Delayed,
                                  RelayFault::TargetBytesLost,
