--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -18,21 +18,27 @@
 constexpr double HolderLeaseFraction = 0.8;
 constexpr double ChallengerLeaseFraction = 1.25;
 constexpr int RenewalsPerLease = 3;
+// Longest duration that counts; a record may state any number.
+constexpr Millis MaxLeaseDuration = 600000; // ms
 // Up to this size every process of the cluster is a store reader.
 constexpr std::size_t MaxSmallClusterSize = 4;
 
+Millis boundedDuration(Millis Duration) {
+  return std::clamp<Millis>(Duration, 0, MaxLeaseDuration);
+}
+
 /// Time for which the holder uses its lease, from before it sent its record.
 /// The others wait from when they read the record. The two fractions leave a
 /// margin for clocks that run at different speeds.
 Millis holderLeaseTime(Millis Duration) {
-  return static_cast<Millis>(static_cast<double>(Duration) *
+  return static_cast<Millis>(static_cast<double>(boundedDuration(Duration)) *
                              HolderLeaseFraction);
 }
 
 /// Time after which other processes may acquire a lease that is not renewed,
 /// from when they read its last record.
 Millis challengerWaitTime(Millis Duration) {
-  return static_cast<Millis>(static_cast<double>(Duration) *
+  return static_cast<Millis>(static_cast<double>(boundedDuration(Duration)) *
                              ChallengerLeaseFraction);
 }
 
