Log: a failed attempt names its route and what the request is

The log could not tell a request that comes again from a new one: the caller's ID is new each time. attempt_failed now has the route and a key of caller, method, host, path with query, body and prompt (src/requestkey). No decision uses the key.

--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -220,6 +220,8 @@
               {"upstream", Host.Name_},
               {"failure", std::string(name(E.Failure_))},
               {"begun", A.FirstTokenAt_ != 0 ? "yes" : "no"},
+              {"route", C.Request_.Route_},
+              {"key", fmt::format("{:x}", C.RequestKey_)},
               {"parts", sharedPartIds(C)},
               {"age_ms", std::to_string(S.Now_ - A.StartedAt_)},
               {"detail", E.Detail_}});
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -8,6 +8,7 @@
 #include "fleet.h"
 #include "promptparts.h"
 #include "quota.h"
+#include "requestkey.h"
 #include "router.h"
 #include "upstreams.h"
 #include "usage.h"
@@ -67,6 +68,8 @@
     C.PrefixTokens_.push_back(TokenCount);
   }
   C.SharedPartKeys_ = sharedPartKeys(C.Request_);
+  C.RequestKey_ = requestKey(C.Request_, C.Account_.empty() ? C.Request_.ApiKey_
+                                                            : C.Account_);
 }
 
 /// Sets the fields that the route determines. Calls of the service's
--- a/src/state.h
+++ b/src/state.h
@@ -178,6 +178,7 @@
   bool UsageCounted_ = false;   ///< Counted in the account's usage.
   /// Tokens of the prompt up to the end of each block.
   std::vector<std::int64_t> PrefixTokens_;
+  std::uint64_t RequestKey_ = 0; ///< What the request is (requestkey.h).
   /// Keys of the prompt's parts that other requests may share: all but the
   /// last.
   std::vector<std::uint64_t> SharedPartKeys_;
