--- a/tests/simulatedengines.cpp
+++ b/tests/simulatedengines.cpp
@@ -40,16 +40,29 @@
   Group_.setHosts(std::move(Rows));
 }
 
-int SimulatedEngines::sendPrompt(int Process, std::vector<std::string> Parts) {
+int SimulatedEngines::sendPrompt(int Process, std::vector<std::string> Parts,
+                                 const std::string &Path) {
   CallRequest R =
-      sampleRequest("/plan/1", "k1", "p" + std::to_string(Outcomes_.size()));
+      sampleRequest(Path, "k1", "p" + std::to_string(Outcomes_.size()));
   R.Model_ = "m";
   for (const std::string &Part : Parts)
     R.PromptParts_.push_back({Part, 100});
   R.PromptTokens_ = static_cast<std::int64_t>(100 * Parts.size());
+  return submit(Process, R, {Group_.Now_, Process, std::move(Parts), Path});
+}
+
+int SimulatedEngines::sendPlain(int Process, const std::string &Path,
+                                const std::string &Key) {
+  const CallRequest R =
+      sampleRequest(Path, Key, "p" + std::to_string(Outcomes_.size()));
+  return submit(Process, R, {Group_.Now_, Process, {}, Path});
+}
+
+int SimulatedEngines::submit(int Process, const CallRequest &R,
+                             PromptOutcome Outcome) {
   const int Index = static_cast<int>(Outcomes_.size());
   OutcomeByRequest_[R.RequestId_] = Index;
-  Outcomes_.push_back({Group_.Now_, Process, std::move(Parts)});
+  Outcomes_.push_back(std::move(Outcome));
   const CallId Call = Group_.submitRequest(Process, R);
   if (Call == 0) {
     OutcomeByRequest_.erase(R.RequestId_);
@@ -60,10 +73,18 @@
   return Index;
 }
 
-bool SimulatedEngines::hasDeadlyPart(const PromptOutcome &Outcome) const {
-  return std::any_of(
-      Outcome.Parts_.begin(), Outcome.Parts_.end(),
-      [&](const std::string &Part) { return DeadlyParts_.count(Part) > 0; });
+bool SimulatedEngines::isDeadly(const PromptOutcome &Outcome) const {
+  return DeadlyPaths_.count(Outcome.Path_) > 0 ||
+         std::any_of(Outcome.Parts_.begin(), Outcome.Parts_.end(),
+                     [&](const std::string &Part) {
+                       return DeadlyParts_.count(Part) > 0;
+                     });
+}
+
+void SimulatedEngines::endBecauseOf(int Outcome, int Engine) {
+  Ends_.push_back(Group_.Now_);
+  EndOutcomes_.push_back(Outcome);
+  endEngine(Engine);
 }
 
 bool SimulatedEngines::onAttempt(int Process, const StartAttempt &Start) {
@@ -95,10 +116,10 @@
   if (Found == Attempts_.end())
     return;
   const auto [Process, Id] = Key;
-  if (hasDeadlyPart(Outcomes_[Found->second.Outcome_])) {
-    Ends_.push_back(Group_.Now_);
-    EndOutcomes_.push_back(Found->second.Outcome_);
-    endEngine(Found->second.Engine_);
+  const PromptOutcome &Outcome = Outcomes_[Found->second.Outcome_];
+  const bool IsPlain = Outcome.Parts_.empty();
+  if (isDeadly(Outcome) && !EndsLate_) {
+    endBecauseOf(Found->second.Outcome_, Found->second.Engine_);
     return;
   }
   RandomState_ = RandomState_ * 6364136223846793005ULL + 1442695040888963407ULL;
@@ -108,18 +129,32 @@
     return;
   }
   sendNotice(Key, Found->second.Engine_);
-  Group_.scheduleEvent(0, Process, [Id = Id] {
-    return AttemptHead{Id, 200, {}};
-  });
-  Group_.scheduleEvent(0, Process, [Id = Id] {
-    return AttemptToken{Id, 0, "id: 0\n\n"};
-  });
+  if (!IsPlain) {
+    Group_.scheduleEvent(0, Process, [Id = Id] {
+      return AttemptHead{Id, 200, {}};
+    });
+    Group_.scheduleEvent(0, Process, [Id = Id] {
+      return AttemptToken{Id, 0, "id: 0\n\n"};
+    });
+  }
   Group_.scheduleEvent(AnswerDuration - FirstEventDelay, Process,
-                       [this, Key]() -> EventBody {
-                         if (Attempts_.erase(Key) == 0)
-                           return CallerDisconnected{0};
-                         return AttemptEnded{Key.second, "", 0, 0};
-                       });
+                       [this, Key] { return endAnswer(Key); });
+}
+
+EventBody SimulatedEngines::endAnswer(AttemptKey Key) {
+  const auto Found = Attempts_.find(Key);
+  if (Found == Attempts_.end())
+    return CallerDisconnected{0};
+  const RunningAttempt Attempt = Found->second;
+  const PromptOutcome &Outcome = Outcomes_[Attempt.Outcome_];
+  if (isDeadly(Outcome)) {
+    endBecauseOf(Attempt.Outcome_, Attempt.Engine_);
+    return CallerDisconnected{0};
+  }
+  Attempts_.erase(Found);
+  if (Outcome.Parts_.empty())
+    return ServiceAnswer{Key.second, 200, "", "whole", {}};
+  return AttemptEnded{Key.second, "", 0, 0};
 }
 
 void SimulatedEngines::setLimit(int Index, std::optional<double> PerSecond) {
@@ -253,15 +288,20 @@
 }
 
 void SimulatedEngines::onEffect(int Process, const Effect &E) {
-  if (const auto *Cancel = std::get_if<CancelAttempt>(&E)) {
-    Attempts_.erase({Process, Cancel->Attempt_});
-  } else if (const auto *Begun = std::get_if<StartRoutedStream>(&E)) {
-    const auto Found = OutcomeByCall_.find({Process, Begun->Call_});
+  const auto RecordServed = [&](CallId Call) {
+    const auto Found = OutcomeByCall_.find({Process, Call});
     if (Found == OutcomeByCall_.end())
       return;
     PromptOutcome &Outcome = Outcomes_[Found->second];
     Outcome.Served_ = true;
     Outcome.ServedAtFirst_ = Outcome.Arrivals_ == 1;
+  };
+  if (const auto *Cancel = std::get_if<CancelAttempt>(&E)) {
+    Attempts_.erase({Process, Cancel->Attempt_});
+  } else if (const auto *Begun = std::get_if<StartRoutedStream>(&E)) {
+    RecordServed(Begun->Call_);
+  } else if (const auto *Answer = std::get_if<SendRoutedAnswer>(&E)) {
+    RecordServed(Answer->Call_);
   } else if (const auto *Error = std::get_if<SendError>(&E)) {
     const auto Found = OutcomeByRequest_.find(Error->RequestId_);
     if (Found == OutcomeByRequest_.end())
@@ -272,24 +312,30 @@
   }
 }
 
-Millis SimulatedEngines::endAt(const std::string &Part, int Number) const {
-  for (std::size_t I = 0; I < Ends_.size(); ++I) {
-    const auto &Parts = Outcomes_[EndOutcomes_[I]].Parts_;
-    if (std::find(Parts.begin(), Parts.end(), Part) != Parts.end() &&
-        --Number == 0)
+namespace {
+
+bool hasCause(const PromptOutcome &Outcome, const std::string &Cause) {
+  const auto &Parts = Outcome.Parts_;
+  return Outcome.Path_ == Cause ||
+         std::find(Parts.begin(), Parts.end(), Cause) != Parts.end();
+}
+
+} // namespace
+
+Millis SimulatedEngines::endAt(const std::string &Cause, int Number) const {
+  for (std::size_t I = 0; I < Ends_.size(); ++I)
+    if (hasCause(Outcomes_[EndOutcomes_[I]], Cause) && --Number == 0)
       return Ends_[I];
-  }
   return -1;
 }
 
 int SimulatedEngines::arrivalsWith(
-    const std::string &Part, Millis From,
+    const std::string &Cause, Millis From,
     const std::function<bool(int, Millis)> &IsExcused) const {
   return static_cast<int>(
       std::count_if(Arrivals_.begin(), Arrivals_.end(), [&](const Arrival &A) {
-        const auto &Parts = Outcomes_[A.Outcome_].Parts_;
         return A.At_ > From && !IsExcused(A.Process_, A.At_) &&
-               std::find(Parts.begin(), Parts.end(), Part) != Parts.end();
+               hasCause(Outcomes_[A.Outcome_], Cause);
       }));
 }
 
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -1,5 +1,6 @@
 // Simulated engines behind a PlatformGroup: they stream answers to prompts in
-// parts, and end when they begin to answer a prompt that has a deadly part.
+// parts and answer plain requests. They end when they answer a prompt that has
+// a deadly part, or any request for a deadly path.
 #pragma once
 
 #include "platformgroup.h"
@@ -14,11 +15,12 @@
 
 namespace endivewharf {
 
-/// Outcome of one prompt, as its caller and the engines see it.
+/// Outcome of one request, as its caller and the engines see it.
 struct PromptOutcome {
   Millis SentAt_ = 0;
   int Process_ = 0;
-  std::vector<std::string> Parts_;
+  std::vector<std::string> Parts_; ///< Empty: a plain request.
+  std::string Path_;
   int Arrivals_ = 0; ///< Attempts that reached an engine.
   bool Served_ = false;
   bool ServedAtFirst_ = false; ///< Its first attempt was the one that began.
@@ -35,9 +37,14 @@
   /// Time for which the host list still has an engine that has ended, in ms.
   static constexpr Millis ListExpiry = 3600;
 
-  /// Configuration of a group with one route of streams to the engines.
+  /// Configuration of a group with routes of streams and of plain requests to
+  /// the engines.
   static constexpr const char *Config = R"([account buyers]
 key = k1
+rate = none
+[account sellers]
+key = k2
+rate = none
 [service models]
 max_connections = 1000
 [route plan]
@@ -50,6 +57,21 @@
 objective = 1000ms
 attempts = 2
 service = models:1
+[route check]
+host = shop.example
+path = /check/
+kind = repeatable
+time_limit = 3000ms
+objective = 300ms
+attempts = 2
+service = models:1
+[route booking]
+host = shop.example
+path = /booking/
+kind = unrepeatable
+time_limit = 3000ms
+objective = 300ms
+service = models:1
 )";
 
   SimulatedEngines(PlatformGroup &Group, int Count);
@@ -57,7 +79,15 @@
   /// Sends a prompt for the route `/plan/`; the last part should be unique.
   /// @param Process index of the process
   /// @return index of the outcome; -1 if the process does not run
-  int sendPrompt(int Process, std::vector<std::string> Parts);
+  /// @param Path `/plan/...`
+  int sendPrompt(int Process, std::vector<std::string> Parts,
+                 const std::string &Path = "/plan/1");
+  /// Sends a request without a prompt.
+  /// @param Path `/check/...` or `/booking/...`
+  /// @param Key API key of the caller
+  /// @return as sendPrompt()
+  int sendPlain(int Process, const std::string &Path,
+                const std::string &Key = "k1");
 
   /// Ends an engine; it starts again after `RestartDelay` with another name.
   void endEngine(int Index);
@@ -87,22 +117,28 @@
 
   int count() const { return static_cast<int>(Engines_.size()); }
   const std::vector<PromptOutcome> &outcomes() const { return Outcomes_; }
-  /// @return times at which engines ended because of a deadly part
+  /// @return times at which engines ended because of a request
   const std::vector<Millis> &ends() const { return Ends_; }
-  /// @return time of the end with this number, from 1, that a part has caused;
-  ///   -1 if there were fewer
-  Millis endAt(const std::string &Part, int Number) const;
-  /// @param Part a deadly part
+  /// @param Cause a deadly part or path
+  /// @return time of the end with this number, from 1, that it has caused; -1
+  /// if
+  ///   there were fewer
+  Millis endAt(const std::string &Cause, int Number) const;
+  /// @param Cause a deadly part or path
   /// @param From time from which arrivals count
   /// @param IsExcused tells whether a process does not count at a time
-  /// @return attempts with the part that reached an engine
+  /// @return attempts with it that reached an engine
   int arrivalsWith(
-      const std::string &Part, Millis From,
+      const std::string &Cause, Millis From,
       const std::function<bool(int, Millis)> &IsExcused = [](int, Millis) {
         return false;
       }) const;
 
   std::set<std::string> DeadlyParts_;
+  std::set<std::string> DeadlyPaths_;
+  /// Requests for deadly paths end an engine at the end of their answer, not at
+  /// its beginning.
+  bool EndsLate_ = false;
 
 private:
   struct Engine {
@@ -141,7 +177,12 @@
   void publishHosts();
   /// States the engine's limit in the head of an answer, if it names one.
   void sendNotice(AttemptKey Key, int Index);
-  bool hasDeadlyPart(const PromptOutcome &Outcome) const;
+  bool isDeadly(const PromptOutcome &Outcome) const;
+  /// Submits a request and keeps its outcome.
+  int submit(int Process, const CallRequest &R, PromptOutcome Outcome);
+  /// Ends the answer of an attempt, or the engine that runs it.
+  EventBody endAnswer(AttemptKey Key);
+  void endBecauseOf(int Outcome, int Engine);
 
   PlatformGroup &Group_;
   std::vector<Engine> Engines_;
