--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -6,12 +6,12 @@
 #include "claims.h"
 #include "diagnostics.h"
 #include "dispatch.h"
-#include "parttrials.h"
 #include "quota.h"
 #include "quotaexchange.h"
 #include "resume.h"
 #include "routed.h"
 #include "router.h"
+#include "trials.h"
 #include "xxhash.h"
 #include <algorithm>
 #include <fmt/format.h>
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -89,17 +89,17 @@
   F("model", R.Model_);
   F("id", R.Id_);
 }
-template <SameIgnoringConst<PartBreakRow> T, typename V>
+template <SameIgnoringConst<BreakRow> T, typename V>
 void visitFields(T &R, V &&F) {
   F("part", R.Part_);
   F("upstream", R.UpstreamHash_);
   F("trial", R.TrialId_);
 }
-template <SameIgnoringConst<ClearedPartRow> T, typename V>
+template <SameIgnoringConst<ClearedRow> T, typename V>
 void visitFields(T &R, V &&F) {
   F("key", R.Key_);
 }
-template <SameIgnoringConst<BlockedPartsFact> T, typename V>
+template <SameIgnoringConst<BlockFact> T, typename V>
 void visitFields(T &R, V &&F) {
   F("parts", R.Parts_);
   F("upstreams", R.UpstreamHashes_);
@@ -112,7 +112,7 @@
   F("config", R.ConfigText_);
   F("note_version", R.NoteVersion_);
   F("moves", R.Rollouts_);
-  F("blocked_parts", R.BlockedParts_);
+  F("blocked_parts", R.Blocks_);
 }
 template <SameIgnoringConst<DigestMessage> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -248,9 +248,9 @@
   F("leaving", R.LeavingFacts_);
   F("bad", R.BadVersionFacts_);
   F("evidence", R.Evidence_);
-  F("part_breaks", R.PartBreaks_);
-  F("cleared_parts", R.ClearedParts_);
-  F("blocked_parts", R.BlockedParts_);
+  F("part_breaks", R.Breaks_);
+  F("cleared_parts", R.Cleared_);
+  F("blocked_parts", R.Blocks_);
 }
 template <SameIgnoringConst<TrialRequestRow> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -270,7 +270,7 @@
   F("upstream", R.UpstreamHash_);
   F("trial", R.TrialId_);
 }
-template <SameIgnoringConst<PartTrialMessage> T, typename V>
+template <SameIgnoringConst<TrialMessage> T, typename V>
 void visitFields(T &R, V &&F) {
   F("requests", R.Requests_);
   F("answers", R.Answers_);
@@ -383,7 +383,7 @@
   F("content_type", R.ContentType_);
   F("body", R.Body_);
 }
-template <SameIgnoringConst<BlockedPartsRecord> T, typename V>
+template <SameIgnoringConst<BlockRecord> T, typename V>
 void visitFields(T &R, V &&F) {
   F("fact", R.Fact_);
 }
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -10,10 +10,10 @@
 #include "fleet.h"
 #include "lease.h"
 #include "membership.h"
-#include "promptparts.h"
 #include "release.h"
 #include "restore.h"
 #include "rollout.h"
+#include "suspects.h"
 #include "usage.h"
 
 #include <algorithm>
@@ -112,9 +112,7 @@
     markApplied();
   }
 
-  void operator()(const BlockedPartsRecord &R) const {
-    mergeBlockedParts(S_, R.Fact_, Out_);
-  }
+  void operator()(const BlockRecord &R) const { mergeBlock(S_, R.Fact_, Out_); }
 
   void operator()(const SnapshotRecord &R) const {
     // A snapshot is usable only if its writer had read all records that this
@@ -187,7 +185,7 @@
          std::holds_alternative<ClaimReleaseRecord>(Record) ||
          std::holds_alternative<ClaimDoneRecord>(Record) ||
          std::holds_alternative<VerdictRecord>(Record) ||
-         std::holds_alternative<BlockedPartsRecord>(Record) ||
+         std::holds_alternative<BlockRecord>(Record) ||
          std::holds_alternative<JoinRecord>(Record) ||
          std::holds_alternative<UsageRecord>(Record);
 }
@@ -385,8 +383,8 @@
   Control.NoteVersion_ = S.Release_.NoteVersion_;
   for (const auto &[Model, Rollout] : S.Release_.Rollouts_)
     Control.Rollouts_.push_back(Rollout.Row_);
-  for (const auto &[Key, Fact] : S.Parts_.Blocked_)
-    Control.BlockedParts_.push_back(Fact);
+  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
+    Control.Blocks_.push_back(Fact);
   return Control;
 }
 
@@ -412,8 +410,8 @@
 
 void adoptControlSnapshot(State &S, const ControlSnapshot &Control,
                           std::string_view Source, Effects &Out) {
-  for (const BlockedPartsFact &Fact : Control.BlockedParts_)
-    mergeBlockedParts(S, Fact, Out);
+  for (const BlockFact &Fact : Control.Blocks_)
+    mergeBlock(S, Fact, Out);
   if (S.Settings_.servesPlatform()) {
     adoptConfiguration(S, Control.ConfigVersion_, Control.ConfigText_, Source,
                        Out);
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -15,8 +15,6 @@
 #include "membership.h"
 #include "operatorlog.h"
 #include "outcomes.h"
-#include "parttrials.h"
-#include "promptparts.h"
 #include "quota.h"
 #include "quotaexchange.h"
 #include "release.h"
@@ -25,6 +23,8 @@
 #include "rollout.h"
 #include "routed.h"
 #include "summaries.h"
+#include "suspects.h"
+#include "trials.h"
 #include "upstreams.h"
 #include "usage.h"
 
@@ -90,8 +90,8 @@
     tickSummaries(S, Out);
     tickQuotas(S, Out);
     tickQuotaExchange(S, Out);
-    tickPromptParts(S, Out);
-    tickPartTrials(S, Out);
+    tickSuspects(S, Out);
+    tickTrials(S, Out);
     tickUsage(S, Out);
     tickFleet(S, Out);
     tickStalledStreams(S, Out);
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -4,10 +4,10 @@
 #include "admission.h"
 #include "calls.h"
 #include "diagnostics.h"
-#include "parttrials.h"
 #include "release.h"
 #include "requestlimits.h"
 #include "router.h"
+#include "trials.h"
 #include <algorithm>
 
 namespace endivewharf {
@@ -216,7 +216,7 @@
     C.TriedUpstreams_.clear();
     Index = pickUpstream(S, C, Choice.Version_);
   }
-  if (Index < 0 || !admitSuspectPrompt(S, C, Out))
+  if (Index < 0 || !admitSuspect(S, C, Out))
     return false;
   if (C.Request_.Kind_ != CallKind::Service)
     countVersionAttempt(S, rolloutKey(C), Choice.NewVersion_);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -8,12 +8,12 @@
 #include "diagnostics.h"
 #include "evidence.h"
 #include "handover.h"
-#include "parttrials.h"
-#include "promptparts.h"
 #include "quotaexchange.h"
 #include "release.h"
 #include "storereaders.h"
 #include "summaries.h"
+#include "suspects.h"
+#include "trials.h"
 #include "upstreams.h"
 #include "usage.h"
 
@@ -84,7 +84,7 @@
     Sum += hashText(Key, 1);
   for (const auto &[Key, Fact] : S.Release_.BadVersionFacts_)
     Sum += hashText(fmt::format("{}|{}", Key.first, Key.second), 2);
-  for (const auto &[Key, Fact] : S.Parts_.Blocked_)
+  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
     Sum += hashText(fmt::format("{}|{}", Key, Fact.Lifted_), 8);
   return Sum;
 }
@@ -170,7 +170,7 @@
     Facts.LeavingFacts_.push_back(Fact);
   for (const auto &[Key, Fact] : S.Release_.BadVersionFacts_)
     Facts.BadVersionFacts_.push_back(Fact);
-  addPartFacts(S, Facts);
+  addSuspectFacts(S, Facts);
   return Facts;
 }
 
@@ -332,7 +332,7 @@
     for (const BadVersionFact &Fact : Facts.BadVersionFacts_)
       rollBackVersion(S_, Fact, Out_);
     mergeEvidence(S_, Facts.Evidence_);
-    mergePartFacts(S_, SenderName_, Facts, Out_);
+    mergeSuspectFacts(S_, SenderName_, Facts, Out_);
   }
 
   void operator()(const ControlMessage &Message) const {
@@ -365,8 +365,8 @@
   void operator()(const QuotaMessage &Message) const {
     onQuotaMessage(S_, Sender_, Message, Out_);
   }
-  void operator()(const PartTrialMessage &Message) const {
-    onPartTrialMessage(S_, Sender_, Message, Out_);
+  void operator()(const TrialMessage &Message) const {
+    onTrialMessage(S_, Sender_, Message, Out_);
   }
   void operator()(const HostsRequestMessage &) const {
     if (S_.HostsVersion_ != 0)
--- a/src/messages.h
+++ b/src/messages.h
@@ -65,7 +65,7 @@
 };
 
 /// A request with a part broke before its answer had begun.
-struct PartBreakRow {
+struct BreakRow {
   PartName Part_;
   std::uint32_t UpstreamHash_ = 0; ///< Hash of the upstream's incarnation.
   /// Number of the trial that broke, unique over all processes but for chance;
@@ -74,12 +74,12 @@
 };
 
 /// A part under which an answer has begun, so it does not end upstreams.
-struct ClearedPartRow {
+struct ClearedRow {
   std::uint64_t Key_ = 0;
 };
 
 /// Requests whose prompt has all of these parts end upstreams and are refused.
-struct BlockedPartsFact {
+struct BlockFact {
   std::vector<PartName> Parts_;
   std::vector<std::uint32_t> UpstreamHashes_; ///< Incarnations that ended.
   bool Lifted_ = false; ///< An answer has begun under one of the parts since.
@@ -143,7 +143,7 @@
   std::string ConfigText_;
   LogOffset NoteVersion_ = NoOffset;
   std::vector<RolloutRow> Rollouts_;
-  std::vector<BlockedPartsFact> BlockedParts_;
+  std::vector<BlockFact> Blocks_;
 };
 
 /// Heartbeat of an incarnation whose row the receiver already has.
@@ -316,9 +316,9 @@
   std::vector<LeavingFact> LeavingFacts_;
   std::vector<BadVersionFact> BadVersionFacts_;
   std::vector<EvidenceRow> Evidence_;
-  std::vector<PartBreakRow> PartBreaks_;
-  std::vector<ClearedPartRow> ClearedParts_;
-  std::vector<BlockedPartsFact> BlockedParts_;
+  std::vector<BreakRow> Breaks_;
+  std::vector<ClearedRow> Cleared_;
+  std::vector<BlockFact> Blocks_;
 };
 
 /// Asks the owner of a suspect part for permission to try a request with it.
@@ -339,11 +339,11 @@
   PartName Part_;
   bool Broken_ = false;            ///< It broke before its answer had begun.
   std::uint32_t UpstreamHash_ = 0; ///< Where it broke.
-  std::uint32_t TrialId_ = 0;      ///< As in `PartBreakRow`.
+  std::uint32_t TrialId_ = 0;      ///< As in `BreakRow`.
 };
 
 /// Lets requests with a suspect part be tried one at a time.
-struct PartTrialMessage {
+struct TrialMessage {
   std::vector<TrialRequestRow> Requests_;
   std::vector<TrialAnswerRow> Answers_;
   std::vector<TrialEndRow> Ends_;
@@ -404,7 +404,7 @@
                  ControlRequestMessage, HandoverMessage, HandoverAckMessage,
                  FindCallMessage, FoundCallMessage, SummaryMessage,
                  UsageMessage, HostsRequestMessage, HostsMessage, QuotaMessage,
-                 PartTrialMessage>;
+                 TrialMessage>;
 
 /// A message with its sender.
 struct PeerEnvelope {
@@ -538,8 +538,8 @@
 
 /// Makes a block durable. It needs no lease, because it only restricts; one
 /// with `Lifted_` replaces it.
-struct BlockedPartsRecord {
-  BlockedPartsFact Fact_;
+struct BlockRecord {
+  BlockFact Fact_;
 };
 
 using LogRecord =
@@ -547,7 +547,7 @@
                  LeaseRenewRecord, ShareRecord, VerdictRecord, ClaimRecord,
                  ClaimReleaseRecord, ClaimDoneRecord, SnapshotRecord,
                  JoinRecord, UsageRecord, UsageCountsRecord, WorkRecord,
-                 BlockedPartsRecord>;
+                 BlockRecord>;
 
 /// A record with its offset; empty if it could not be decoded.
 struct LogEntry {
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -8,10 +8,10 @@
 #include "claims.h"
 #include "diagnostics.h"
 #include "dispatch.h"
-#include "promptparts.h"
 #include "release.h"
 #include "resume.h"
 #include "routed.h"
+#include "suspects.h"
 #include "upstreams.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -229,7 +229,7 @@
     markLeaving(S, Host, "engine", Out);
   if (C.Request_.Kind_ == CallKind::Routed) {
     // A break that a suspect part explains says nothing about the version.
-    if (!recordPartBreak(S, C, A, E.Failure_, Out))
+    if (!recordBreak(S, C, A, E.Failure_, Out))
       recordVersionOutcome(S, A, C, !isNotRunFailure(E.Failure_), Out);
     retryRoutedCall(S, C, A, E, Out);
   } else if (C.Request_.Kind_ == CallKind::Completion) {
--- a/src/restore.cpp
+++ b/src/restore.cpp
@@ -6,7 +6,7 @@
 #include "diagnostics.h"
 #include "lease.h"
 #include "membership.h"
-#include "promptparts.h"
+#include "suspects.h"
 #include "usage.h"
 
 #include <set>
@@ -39,7 +39,7 @@
   void operator()(const ShareRecord &R) const {
     Keys_.Shares_.insert({R.NoteVersion_, R.Model_});
   }
-  void operator()(const BlockedPartsRecord &R) const {
+  void operator()(const BlockRecord &R) const {
     Keys_.Blocks_.insert({blockKey(R.Fact_), R.Fact_.Lifted_});
   }
   template <typename Other> void operator()(const Other &) const {}
@@ -101,9 +101,9 @@
       queueLogRecord(S, ShareRecord{S.Lease_.Epoch_, Row.NoteVersion_, Service,
                                     Row.Share_, "written again"});
   }
-  for (const auto &[Key, Fact] : S.Parts_.Blocked_)
+  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
     if (Keys.Blocks_.count({Key, Fact.Lifted_}) == 0)
-      queueLogRecord(S, BlockedPartsRecord{Fact});
+      queueLogRecord(S, BlockRecord{Fact});
 }
 
 } // namespace endivewharf
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -6,10 +6,10 @@
 #include "diagnostics.h"
 #include "dispatch.h"
 #include "fleet.h"
-#include "promptparts.h"
 #include "quota.h"
 #include "requestkey.h"
 #include "router.h"
+#include "suspects.h"
 #include "upstreams.h"
 #include "usage.h"
 
@@ -203,7 +203,7 @@
     C.Account_ = CallerAccount->Name_;
   }
   fillFromRoute(S, C, *Route);
-  if (auto Error = checkBlockedParts(S, C))
+  if (auto Error = checkBlocked(S, C))
     return Error;
   countWork(S, C);
   if (isStopTooNear(S, C))
--- a/src/state.h
+++ b/src/state.h
@@ -183,11 +183,11 @@
   /// last.
   std::vector<std::uint64_t> SharedPartKeys_;
   bool BrokenBeforeAnswer_ =
-      false;                    ///< An attempt broke before its first event.
-  std::uint64_t TrialPart_ = 0; ///< Suspect part that it may try; 0: none.
-  std::string TrialOwner_;      ///< Process that was asked for the trial.
-  Millis TrialAskedAt_ = 0;     ///< When it was asked.
-  int TrialRequests_ = 0;       ///< How often processes were asked.
+      false;                   ///< An attempt broke before its first event.
+  std::uint64_t TrialKey_ = 0; ///< Suspect part that it may try; 0: none.
+  std::string TrialOwner_;     ///< Process that was asked for the trial.
+  Millis TrialAskedAt_ = 0;    ///< When it was asked.
+  int TrialRequests_ = 0;      ///< How often processes were asked.
   /// Status of the first upstream's answer, until the stream's head is sent.
   int AnswerStatus_ = 0;
   /// Headers of the first upstream's answer, until the stream's head is sent.
@@ -463,7 +463,7 @@
 // --- Parts of prompts ---
 
 /// A part that was in requests that broke before their answer had begun.
-struct SuspectPart {
+struct Suspect {
   PartName Name_;
   /// Numbers of the trials that broke, by hash of the upstream's incarnation;
   /// none if other requests broke there.
@@ -472,24 +472,24 @@
 };
 
 /// A trial of a suspect part that this process has permitted as its owner.
-struct PartTrial {
+struct Trial {
   InstanceId Origin_;
   CallId Call_ = 0;
   Millis StartedAt_ = 0;
 };
 
 /// What is known about parts of prompts that may end upstreams.
-struct PromptPartState {
+struct SuspicionState {
   /// Keys of parts under which an answer has begun, in two generations: a full
   /// one replaces the older.
   std::array<std::unordered_set<std::uint64_t>, 2> Cleared_;
-  std::map<std::uint64_t, SuspectPart> Suspects_; ///< By key.
+  std::map<std::uint64_t, Suspect> Suspects_; ///< By key.
   /// By hash of the keys of all parts of the fact.
-  std::map<std::uint64_t, BlockedPartsFact> Blocked_;
+  std::map<std::uint64_t, BlockFact> Blocks_;
   /// Trials under way of the parts that this process owns, by key.
-  std::map<std::uint64_t, PartTrial> Trials_;
-  FactsMessage FactsOutbox_; ///< New facts to gossip.
-  std::map<std::string, PartTrialMessage> TrialOutbox_; ///< By peer.
+  std::map<std::uint64_t, Trial> Trials_;
+  FactsMessage FactsOutbox_;                        ///< New facts to gossip.
+  std::map<std::string, TrialMessage> TrialOutbox_; ///< By peer.
   /// Peers that have left a trial request unanswered, and until when they are
   /// not asked.
   std::map<std::string, Millis> UnresponsiveUntil_;
@@ -617,7 +617,7 @@
   QuotaTable Quotas_;
   FleetState Fleet_;
   UsageState Usage_;
-  PromptPartState Parts_;
+  SuspicionState Suspicion_;
   LogState Log_;
   OperatorLogState OperatorLog_;
   ConfigState Config_;
--- a/src/promptparts.cpp
+++ b/src/suspects.cpp
@@ -1,15 +1,15 @@
 // A part is cleared by any answer that begins under it. A part that is not
 // becomes a suspect when requests with it break at several upstreams; then
-// requests with it are tried one at a time (parttrials.h), and the trials
+// requests with it are tried one at a time (trials.h), and the trials
 // decide.
-#include "promptparts.h"
+#include "suspects.h"
 
 #include "calls.h"
 #include "controllog.h"
 #include "diagnostics.h"
 #include "dispatch.h"
 #include "membership.h"
-#include "parttrials.h"
+#include "trials.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -46,7 +46,7 @@
           Id.substr(0, MaxNameBytes)};
 }
 
-std::string partIds(const BlockedPartsFact &Fact) {
+std::string partIds(const BlockFact &Fact) {
   std::string Ids;
   for (const PartName &Part : Fact.Parts_)
     Ids += (Ids.empty() ? "" : "+") + Part.Id_;
@@ -58,25 +58,24 @@
 }
 
 /// @return true if a prompt has all parts of a block in force
-bool matches(const BlockedPartsFact &Fact,
-             std::span<const std::uint64_t> Keys) {
+bool matches(const BlockFact &Fact, std::span<const std::uint64_t> Keys) {
   return !Fact.Lifted_ && std::all_of(Fact.Parts_.begin(), Fact.Parts_.end(),
                                       [&](const PartName &Part) {
                                         return hasKey(Keys, Part.Key_);
                                       });
 }
 
-const BlockedPartsFact *findBlock(const State &S, const Call &C) {
+const BlockFact *findBlock(const State &S, const Call &C) {
   if (C.SharedPartKeys_.empty())
     return nullptr;
-  for (const auto &[Key, Fact] : S.Parts_.Blocked_)
+  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
     if (matches(Fact, C.SharedPartKeys_))
       return &Fact;
   return nullptr;
 }
 
 bool isInBlock(const State &S, std::uint64_t Key) {
-  return std::any_of(S.Parts_.Blocked_.begin(), S.Parts_.Blocked_.end(),
+  return std::any_of(S.Suspicion_.Blocks_.begin(), S.Suspicion_.Blocks_.end(),
                      [&](const auto &Entry) {
                        return !Entry.second.Lifted_ &&
                               std::any_of(Entry.second.Parts_.begin(),
@@ -90,9 +89,9 @@
 /// @return true if a block of other parts accounts for the end of an upstream
 bool isExplained(const State &S, std::uint64_t Key, std::uint32_t Upstream) {
   return std::any_of(
-      S.Parts_.Blocked_.begin(), S.Parts_.Blocked_.end(),
+      S.Suspicion_.Blocks_.begin(), S.Suspicion_.Blocks_.end(),
       [&](const auto &Entry) {
-        const BlockedPartsFact &Fact = Entry.second;
+        const BlockFact &Fact = Entry.second;
         const auto &Ended = Fact.UpstreamHashes_;
         return !Fact.Lifted_ &&
                std::find(Ended.begin(), Ended.end(), Upstream) != Ended.end() &&
@@ -103,7 +102,7 @@
 }
 
 void remember(State &S, std::uint64_t Key) {
-  auto &[Newer, Older] = S.Parts_.Cleared_;
+  auto &[Newer, Older] = S.Suspicion_.Cleared_;
   if (Newer.size() >= MaxClearedParts) {
     Older = std::move(Newer);
     Newer.clear();
@@ -111,7 +110,7 @@
   Newer.insert(Key);
 }
 
-int trialBreaks(const SuspectPart &Suspect) {
+int trialBreaks(const Suspect &Suspect) {
   std::size_t Count = 0;
   for (const auto &[Upstream, TrialIds] : Suspect.Breaks_)
     Count += TrialIds.size();
@@ -121,12 +120,12 @@
 /// Makes room for a new suspect by dropping the one with the fewest breaks, the
 /// oldest of these first. Parts of a block stay.
 void evictSuspect(State &S) {
-  auto &Suspects = S.Parts_.Suspects_;
+  auto &Suspects = S.Suspicion_.Suspects_;
   auto Weakest = Suspects.end();
   for (auto It = Suspects.begin(); It != Suspects.end(); ++It) {
     if (isInBlock(S, It->first))
       continue;
-    const auto Strength = [](const SuspectPart &P) {
+    const auto Strength = [](const Suspect &P) {
       return std::pair(P.Breaks_.size(), P.LastBreakAt_);
     };
     if (Weakest == Suspects.end() ||
@@ -139,7 +138,7 @@
 
 /// Refuses the calls that a new block concerns. An attempt that has not begun
 /// its answer is cancelled, so that its upstream does not end.
-void refuseBlockedCalls(State &S, const BlockedPartsFact &Fact, CallId Except,
+void refuseBlockedCalls(State &S, const BlockFact &Fact, CallId Except,
                         Effects &Out) {
   std::vector<CallId> Ids;
   for (const auto &[Id, C] : S.Calls_) {
@@ -164,22 +163,22 @@
 
 /// Drops the breaks of other parts that a block explains.
 void dropExplainedBreaks(State &S) {
-  for (auto &[Key, Suspect] : S.Parts_.Suspects_) {
+  for (auto &[Key, Suspect] : S.Suspicion_.Suspects_) {
     const std::uint64_t PartKey = Key;
     std::erase_if(Suspect.Breaks_, [&](const auto &Break) {
       return isExplained(S, PartKey, Break.first);
     });
   }
-  std::erase_if(S.Parts_.Suspects_,
+  std::erase_if(S.Suspicion_.Suspects_,
                 [](const auto &Entry) { return Entry.second.Breaks_.empty(); });
 }
 
 /// Puts a block into force.
 /// @param Except call that is not refused here
 /// @param Found true if this process has found it and makes it durable
-void applyBlock(State &S, const BlockedPartsFact &Fact, CallId Except,
-                bool Found, Effects &Out) {
-  auto &Blocked = S.Parts_.Blocked_;
+void applyBlock(State &S, const BlockFact &Fact, CallId Except, bool Found,
+                Effects &Out) {
+  auto &Blocked = S.Suspicion_.Blocks_;
   const std::uint64_t Key = blockKey(Fact);
   const auto Known = Blocked.find(Key);
   if (Known != Blocked.end() && (Known->second.Lifted_ || !Fact.Lifted_))
@@ -190,9 +189,9 @@
     return;
   }
   Blocked[Key] = Fact;
-  S.Parts_.FactsOutbox_.BlockedParts_.push_back(Fact);
+  S.Suspicion_.FactsOutbox_.Blocks_.push_back(Fact);
   if (Found)
-    queueLogRecord(S, BlockedPartsRecord{Fact});
+    queueLogRecord(S, BlockRecord{Fact});
   incrementCounter(S, Fact.Lifted_ ? "parts_unblocked" : "parts_blocked");
   recordDecision(S, partIds(Fact),
                  Fact.Lifted_ ? "part unblocked" : "part blocked");
@@ -212,11 +211,11 @@
 /// with only some of them is tried.
 void blockIfProved(State &S, std::span<const std::uint64_t> Keys, CallId Except,
                    Effects &Out) {
-  BlockedPartsFact Fact;
+  BlockFact Fact;
   std::set<std::uint32_t> Ended;
   for (const std::uint64_t Key : Keys) {
-    const auto Found = S.Parts_.Suspects_.find(Key);
-    if (Found == S.Parts_.Suspects_.end() || isBlockedAlone(S, Key) ||
+    const auto Found = S.Suspicion_.Suspects_.find(Key);
+    if (Found == S.Suspicion_.Suspects_.end() || isBlockedAlone(S, Key) ||
         Found->second.Breaks_.size() < SuspectBreaks ||
         trialBreaks(Found->second) < TrialBreaksToBlock)
       continue;
@@ -228,7 +227,7 @@
     return;
   // Another suspect that was present at all of these ends may be the cause.
   const bool OtherExplains = std::any_of(
-      S.Parts_.Suspects_.begin(), S.Parts_.Suspects_.end(),
+      S.Suspicion_.Suspects_.begin(), S.Suspicion_.Suspects_.end(),
       [&](const auto &Entry) {
         return !hasKey(Keys, Entry.first) &&
                std::all_of(Ended.begin(), Ended.end(),
@@ -246,25 +245,25 @@
 /// @param Found true if an answer has begun here
 void clearPart(State &S, std::uint64_t Key, bool Found, Effects &Out) {
   remember(S, Key);
-  S.Parts_.Trials_.erase(Key);
-  const auto Suspect = S.Parts_.Suspects_.find(Key);
-  if (Suspect == S.Parts_.Suspects_.end() && !isInBlock(S, Key))
+  S.Suspicion_.Trials_.erase(Key);
+  const auto Suspect = S.Suspicion_.Suspects_.find(Key);
+  if (Suspect == S.Suspicion_.Suspects_.end() && !isInBlock(S, Key))
     return;
-  S.Parts_.FactsOutbox_.ClearedParts_.push_back({Key});
-  if (Suspect != S.Parts_.Suspects_.end()) {
+  S.Suspicion_.FactsOutbox_.Cleared_.push_back({Key});
+  if (Suspect != S.Suspicion_.Suspects_.end()) {
     logEvent(Out, "part_cleared",
              {{"part", Suspect->second.Name_.Id_},
               {"breaks", std::to_string(Suspect->second.Breaks_.size())},
               {"source", Found ? "own" : "peer"}});
-    S.Parts_.Suspects_.erase(Suspect);
+    S.Suspicion_.Suspects_.erase(Suspect);
   }
-  std::vector<BlockedPartsFact> Lifted;
-  for (const auto &[BlockKey, Fact] : S.Parts_.Blocked_)
+  std::vector<BlockFact> Lifted;
+  for (const auto &[BlockKey, Fact] : S.Suspicion_.Blocks_)
     if (!Fact.Lifted_ &&
         std::any_of(Fact.Parts_.begin(), Fact.Parts_.end(),
                     [&](const PartName &Part) { return Part.Key_ == Key; }))
       Lifted.push_back(Fact);
-  for (BlockedPartsFact &Fact : Lifted) {
+  for (BlockFact &Fact : Lifted) {
     Fact.Lifted_ = true;
     applyBlock(S, Fact, 0, Found, Out);
     std::vector<std::uint64_t> Others;
@@ -276,12 +275,12 @@
   }
 }
 
-void addBreakRows(const SuspectPart &Suspect, FactsMessage &Facts) {
+void addBreakRows(const Suspect &Suspect, FactsMessage &Facts) {
   for (const auto &[Upstream, TrialIds] : Suspect.Breaks_) {
     if (TrialIds.empty())
-      Facts.PartBreaks_.push_back({Suspect.Name_, Upstream, 0});
+      Facts.Breaks_.push_back({Suspect.Name_, Upstream, 0});
     for (const std::uint32_t TrialId : TrialIds)
-      Facts.PartBreaks_.push_back({Suspect.Name_, Upstream, TrialId});
+      Facts.Breaks_.push_back({Suspect.Name_, Upstream, TrialId});
   }
 }
 
@@ -289,7 +288,7 @@
 void endTrialOf(State &S, Call &C, std::uint32_t Upstream,
                 std::uint32_t TrialId) {
   const auto Found = std::find(C.SharedPartKeys_.begin(),
-                               C.SharedPartKeys_.end(), C.TrialPart_);
+                               C.SharedPartKeys_.end(), C.TrialKey_);
   if (Found == C.SharedPartKeys_.end())
     return;
   const auto Index =
@@ -310,7 +309,7 @@
   return Keys;
 }
 
-std::uint64_t blockKey(const BlockedPartsFact &Fact) {
+std::uint64_t blockKey(const BlockFact &Fact) {
   std::vector<std::uint64_t> Keys;
   for (const PartName &Part : Fact.Parts_)
     Keys.push_back(Part.Key_);
@@ -322,17 +321,17 @@
 bool isBlockedAlone(const State &S, std::uint64_t Key) {
   const std::uint64_t Keys[] = {Key};
   return std::any_of(
-      S.Parts_.Blocked_.begin(), S.Parts_.Blocked_.end(),
+      S.Suspicion_.Blocks_.begin(), S.Suspicion_.Blocks_.end(),
       [&](const auto &Entry) { return matches(Entry.second, Keys); });
 }
 
 bool isCleared(const State &S, std::uint64_t Key) {
-  const auto &[Newer, Older] = S.Parts_.Cleared_;
+  const auto &[Newer, Older] = S.Suspicion_.Cleared_;
   return Newer.count(Key) > 0 || Older.count(Key) > 0;
 }
 
-std::optional<CallError> checkBlockedParts(State &S, const Call &C) {
-  const BlockedPartsFact *Fact = findBlock(S, C);
+std::optional<CallError> checkBlocked(State &S, const Call &C) {
+  const BlockFact *Fact = findBlock(S, C);
   if (Fact == nullptr)
     return std::nullopt;
   incrementCounter(S, "refused_blocked_part");
@@ -344,14 +343,14 @@
                    0};
 }
 
-std::uint64_t suspectPartOf(const State &S, const Call &C) {
-  if (S.Parts_.Suspects_.empty())
+std::uint64_t suspectKeyOf(const State &S, const Call &C) {
+  if (S.Suspicion_.Suspects_.empty())
     return 0;
   std::uint64_t Strongest = 0;
   std::size_t MostBreaks = C.BrokenBeforeAnswer_ ? 0 : SuspectBreaks - 1;
   for (const std::uint64_t Key : C.SharedPartKeys_) {
-    const auto Found = S.Parts_.Suspects_.find(Key);
-    if (Found == S.Parts_.Suspects_.end() ||
+    const auto Found = S.Suspicion_.Suspects_.find(Key);
+    if (Found == S.Suspicion_.Suspects_.end() ||
         Found->second.Breaks_.size() <= MostBreaks)
       continue;
     MostBreaks = Found->second.Breaks_.size();
@@ -366,14 +365,14 @@
   endTrial(S, C);
 }
 
-bool mergePartBreak(State &S, const PartBreakRow &Row, Effects &Out) {
-  auto &Suspects = S.Parts_.Suspects_;
+bool mergeBreak(State &S, const BreakRow &Row, Effects &Out) {
+  auto &Suspects = S.Suspicion_.Suspects_;
   const std::uint64_t Key = Row.Part_.Key_;
   if (isCleared(S, Key) || isExplained(S, Key, Row.UpstreamHash_))
     return false;
   if (Suspects.count(Key) == 0 && Suspects.size() >= MaxSuspects)
     evictSuspect(S);
-  SuspectPart &Suspect = Suspects[Key];
+  Suspect &Suspect = Suspects[Key];
   const bool NewUpstream = Suspect.Breaks_.count(Row.UpstreamHash_) == 0;
   const bool Full =
       Suspect.Breaks_.size() >= MaxBreaksPerSuspect ||
@@ -385,7 +384,7 @@
     return false;
   Suspect.Name_ = Row.Part_;
   Suspect.LastBreakAt_ = S.Now_;
-  S.Parts_.FactsOutbox_.PartBreaks_.push_back(Row);
+  S.Suspicion_.FactsOutbox_.Breaks_.push_back(Row);
   const bool News =
       Row.TrialId_ != 0 || Suspect.Breaks_.size() == SuspectBreaks;
   if (News && !isInBlock(S, Key))
@@ -397,21 +396,21 @@
   return true;
 }
 
-bool recordPartBreak(State &S, Call &C, const Attempt &A,
-                     AttemptFailure Failure, Effects &Out) {
+bool recordBreak(State &S, Call &C, const Attempt &A, AttemptFailure Failure,
+                 Effects &Out) {
   if (Failure != AttemptFailure::ConnectionBroken || A.FirstTokenAt_ != 0 ||
       C.SharedPartKeys_.empty())
     return false;
   C.BrokenBeforeAnswer_ = true;
   const std::uint32_t Upstream =
       instanceHash(S.Upstreams_[A.Upstream_].Row_.Host_);
-  const std::uint32_t TrialId = C.TrialPart_ == 0 ? 0 : newTrialId(S);
+  const std::uint32_t TrialId = C.TrialKey_ == 0 ? 0 : newTrialId(S);
   bool Suspected = findBlock(S, C) != nullptr;
   for (std::size_t I = 0; I < C.SharedPartKeys_.size(); ++I) {
     const std::uint64_t Key = C.SharedPartKeys_[I];
-    mergePartBreak(S, {partName(C.Request_, I), Upstream, TrialId}, Out);
-    const auto Found = S.Parts_.Suspects_.find(Key);
-    Suspected = Suspected || (Found != S.Parts_.Suspects_.end() &&
+    mergeBreak(S, {partName(C.Request_, I), Upstream, TrialId}, Out);
+    const auto Found = S.Suspicion_.Suspects_.find(Key);
+    Suspected = Suspected || (Found != S.Suspicion_.Suspects_.end() &&
                               Found->second.Breaks_.size() >= SuspectBreaks);
   }
   if (TrialId != 0) {
@@ -421,31 +420,31 @@
   return Suspected;
 }
 
-void mergePartFacts(State &S, const std::string &From,
-                    const FactsMessage &Facts, Effects &Out) {
-  for (const BlockedPartsFact &Fact : Facts.BlockedParts_)
-    mergeBlockedParts(S, Fact, Out);
+void mergeSuspectFacts(State &S, const std::string &From,
+                       const FactsMessage &Facts, Effects &Out) {
+  for (const BlockFact &Fact : Facts.Blocks_)
+    mergeBlock(S, Fact, Out);
   FactsMessage Reply;
-  for (const PartBreakRow &Row : Facts.PartBreaks_) {
-    mergePartBreak(S, Row, Out);
+  for (const BreakRow &Row : Facts.Breaks_) {
+    mergeBreak(S, Row, Out);
     if (isCleared(S, Row.Part_.Key_))
-      Reply.ClearedParts_.push_back({Row.Part_.Key_});
+      Reply.Cleared_.push_back({Row.Part_.Key_});
   }
-  for (const ClearedPartRow &Row : Facts.ClearedParts_)
+  for (const ClearedRow &Row : Facts.Cleared_)
     clearPart(S, Row.Key_, false, Out);
-  if (!Reply.ClearedParts_.empty())
+  if (!Reply.Cleared_.empty())
     Out.push_back(SendToPeer{From, std::move(Reply)});
 }
 
-void mergeBlockedParts(State &S, const BlockedPartsFact &Fact, Effects &Out) {
+void mergeBlock(State &S, const BlockFact &Fact, Effects &Out) {
   if (!Fact.Parts_.empty())
     applyBlock(S, Fact, 0, false, Out);
 }
 
-void addPartFacts(const State &S, FactsMessage &Facts) {
-  for (const auto &[Key, Fact] : S.Parts_.Blocked_)
-    Facts.BlockedParts_.push_back(Fact);
-  for (const auto &[Key, Suspect] : S.Parts_.Suspects_)
+void addSuspectFacts(const State &S, FactsMessage &Facts) {
+  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
+    Facts.Blocks_.push_back(Fact);
+  for (const auto &[Key, Suspect] : S.Suspicion_.Suspects_)
     if (Suspect.Breaks_.size() >= SuspectBreaks)
       addBreakRows(Suspect, Facts);
 }
@@ -457,7 +456,7 @@
   bool Replaced = false;
   for (const auto &Entry : Versions) {
     const std::set<std::string> &Served = Entry.second;
-    std::set<std::string> &Before = S.Parts_.ServedVersions_[Entry.first];
+    std::set<std::string> &Before = S.Suspicion_.ServedVersions_[Entry.first];
     Replaced = Replaced ||
                std::any_of(Before.begin(), Before.end(), [&](const auto &Old) {
                  return Served.count(Old) == 0;
@@ -465,20 +464,20 @@
     Before = Served;
   }
   if (Replaced)
-    S.Parts_.Cleared_ = {};
+    S.Suspicion_.Cleared_ = {};
 }
 
-void tickPromptParts(State &S, Effects &Out) {
-  std::erase_if(S.Parts_.Suspects_, [&](const auto &Entry) {
-    const SuspectPart &Suspect = Entry.second;
+void tickSuspects(State &S, Effects &Out) {
+  std::erase_if(S.Suspicion_.Suspects_, [&](const auto &Entry) {
+    const Suspect &Suspect = Entry.second;
     const Millis Expiry = Suspect.Breaks_.size() < SuspectBreaks
                               ? SingleBreakExpiry
                               : SuspectExpiry;
     return S.Now_ - Suspect.LastBreakAt_ > Expiry && !isInBlock(S, Entry.first);
   });
-  FactsMessage &Outbox = S.Parts_.FactsOutbox_;
-  if (Outbox.PartBreaks_.empty() && Outbox.ClearedParts_.empty() &&
-      Outbox.BlockedParts_.empty())
+  FactsMessage &Outbox = S.Suspicion_.FactsOutbox_;
+  if (Outbox.Breaks_.empty() && Outbox.Cleared_.empty() &&
+      Outbox.Blocks_.empty())
     return;
   gossipFacts(S, Outbox, "", Out);
   Outbox = {};
--- a/src/promptparts.h
+++ b/src/suspects.h
@@ -16,7 +16,7 @@
 std::vector<std::uint64_t> sharedPartKeys(const CallRequest &Request);
 
 /// Key under which a block is stored, the same for any order of its parts.
-std::uint64_t blockKey(const BlockedPartsFact &Fact);
+std::uint64_t blockKey(const BlockFact &Fact);
 
 /// @return true if requests with a part are refused, whatever else they hold
 bool isBlockedAlone(const State &S, std::uint64_t Key);
@@ -26,11 +26,11 @@
 
 /// Checks a new request before anything is charged for it.
 /// @return the refusal if its prompt has all parts of a block
-std::optional<CallError> checkBlockedParts(State &S, const Call &C);
+std::optional<CallError> checkBlocked(State &S, const Call &C);
 
 /// @return key of the part for which the call's next attempt needs a trial; 0:
 ///   none
-std::uint64_t suspectPartOf(const State &S, const Call &C);
+std::uint64_t suspectKeyOf(const State &S, const Call &C);
 
 /// Clears the parts of a call whose answer has begun.
 void recordAnswerBegun(State &S, Call &C, Effects &Out);
@@ -39,29 +39,29 @@
 /// evidence on the parts that are not cleared, and blocks them if it was the
 /// last of enough trials.
 /// @return true if a suspect part explains the failure
-bool recordPartBreak(State &S, Call &C, const Attempt &A,
-                     AttemptFailure Failure, Effects &Out);
+bool recordBreak(State &S, Call &C, const Attempt &A, AttemptFailure Failure,
+                 Effects &Out);
 
 /// Merges a break that another process has seen.
 /// @return true if it was new
-bool mergePartBreak(State &S, const PartBreakRow &Row, Effects &Out);
+bool mergeBreak(State &S, const BreakRow &Row, Effects &Out);
 
 /// Merges all facts on parts in a peer's message and gossips the new ones.
 /// @param From name of the peer
-void mergePartFacts(State &S, const std::string &From,
-                    const FactsMessage &Facts, Effects &Out);
+void mergeSuspectFacts(State &S, const std::string &From,
+                       const FactsMessage &Facts, Effects &Out);
 
 /// Merges a block from a peer or the control log.
-void mergeBlockedParts(State &S, const BlockedPartsFact &Fact, Effects &Out);
+void mergeBlock(State &S, const BlockFact &Fact, Effects &Out);
 
 /// Adds what this process knows of parts to a message with all facts.
-void addPartFacts(const State &S, FactsMessage &Facts);
+void addSuspectFacts(const State &S, FactsMessage &Facts);
 
 /// Forgets which parts are cleared when a service has hosts of other versions
 /// only than those under which they were.
 void forgetClearedUnderOldVersions(State &S, std::span<const HostRow> Hosts);
 
 /// Drops old suspicions and gossips new facts.
-void tickPromptParts(State &S, Effects &Out);
+void tickSuspects(State &S, Effects &Out);
 
 } // namespace endivewharf
--- a/src/parttrials.cpp
+++ b/src/trials.cpp
@@ -1,10 +1,10 @@
-#include "parttrials.h"
+#include "trials.h"
 
 #include "admission.h"
 #include "calls.h"
 #include "diagnostics.h"
 #include "dispatch.h"
-#include "promptparts.h"
+#include "suspects.h"
 
 #include <algorithm>
 #include <fmt/format.h>
@@ -28,8 +28,9 @@
 }
 
 bool isResponsive(const State &S, const std::string &Peer) {
-  const auto Found = S.Parts_.UnresponsiveUntil_.find(Peer);
-  return Found == S.Parts_.UnresponsiveUntil_.end() || S.Now_ >= Found->second;
+  const auto Found = S.Suspicion_.UnresponsiveUntil_.find(Peer);
+  return Found == S.Suspicion_.UnresponsiveUntil_.end() ||
+         S.Now_ >= Found->second;
 }
 
 /// @return name of the process that permits a part's trials
@@ -55,18 +56,18 @@
     return false;
   if (isCleared(S, Key))
     return true;
-  const auto Running = S.Parts_.Trials_.find(Key);
-  if (Running != S.Parts_.Trials_.end() &&
+  const auto Running = S.Suspicion_.Trials_.find(Key);
+  if (Running != S.Suspicion_.Trials_.end() &&
       S.Now_ - Running->second.StartedAt_ < TrialTimeout)
     return false;
-  S.Parts_.Trials_[Key] = {Origin, Id, S.Now_};
+  S.Suspicion_.Trials_[Key] = {Origin, Id, S.Now_};
   return true;
 }
 
 void logTrial(const State &S, const Call &C, bool Granted, Effects &Out) {
   logEvent(Out, "part_trial",
            {{"request", C.RequestId_},
-            {"key", fmt::format("{:x}", suspectPartOf(S, C))},
+            {"key", fmt::format("{:x}", suspectKeyOf(S, C))},
             {"owner", C.TrialOwner_},
             {"asked_ms", std::to_string(S.Now_ - C.TrialAskedAt_)},
             {"granted", Granted ? "yes" : "no"}});
@@ -96,20 +97,20 @@
   C.TrialAskedAt_ = S.Now_;
   ++C.TrialRequests_;
   incrementCounter(S, "part_trial_requests");
-  S.Parts_.TrialOutbox_[Owner].Requests_.push_back({Key, C.Id_});
+  S.Suspicion_.TrialOutbox_[Owner].Requests_.push_back({Key, C.Id_});
 }
 
 /// Tells a trial's owner that it is over.
 void sendEnd(State &S, const std::string &Owner, TrialEndRow Row) {
   if (Owner == S.Self_.Name_)
-    S.Parts_.Trials_.erase(Row.Part_.Key_);
+    S.Suspicion_.Trials_.erase(Row.Part_.Key_);
   else if (!Owner.empty())
-    S.Parts_.TrialOutbox_[Owner].Ends_.push_back(std::move(Row));
+    S.Suspicion_.TrialOutbox_[Owner].Ends_.push_back(std::move(Row));
 }
 
 void startTrial(State &S, Call &C, std::uint64_t Key, Effects &Out) {
   logTrial(S, C, true, Out);
-  C.TrialPart_ = Key;
+  C.TrialKey_ = Key;
   C.QueuedAt_ = S.Now_;
   C.Phase_ = CallPhase::Queued;
   enqueueCall(S, C, true);
@@ -135,16 +136,16 @@
 
 } // namespace
 
-bool admitSuspectPrompt(State &S, Call &C, Effects &Out) {
+bool admitSuspect(State &S, Call &C, Effects &Out) {
   if (C.SharedPartKeys_.empty())
     return true;
-  if (auto Error = checkBlockedParts(S, C)) {
+  if (auto Error = checkBlocked(S, C)) {
     refusePrompt(S, C, Error->Kind_, std::move(Error->Detail_), 0, Out);
     return false;
   }
-  if (C.TrialPart_ != 0)
+  if (C.TrialKey_ != 0)
     return true;
-  const std::uint64_t Key = suspectPartOf(S, C);
+  const std::uint64_t Key = suspectKeyOf(S, C);
   if (Key == 0)
     return true;
   const std::string Owner = trialOwner(S, Key);
@@ -162,42 +163,43 @@
     refuseTrial(S, C, Out);
     return false;
   }
-  C.TrialPart_ = Key;
+  C.TrialKey_ = Key;
   return true;
 }
 
 void endTrial(State &S, Call &C) {
-  if (C.TrialPart_ == 0)
+  if (C.TrialKey_ == 0)
     return;
   sendEnd(S, C.TrialOwner_,
-          {{std::exchange(C.TrialPart_, 0), "", ""}, false, 0, 0});
+          {{std::exchange(C.TrialKey_, 0), "", ""}, false, 0, 0});
 }
 
 void endBrokenTrial(State &S, Call &C, const PartName &Part,
                     std::uint32_t UpstreamHash, std::uint32_t TrialId) {
-  C.TrialPart_ = 0;
+  C.TrialKey_ = 0;
   sendEnd(S, C.TrialOwner_, {Part, true, UpstreamHash, TrialId});
 }
 
-void onPartTrialMessage(State &S, const InstanceId &From,
-                        const PartTrialMessage &Message, Effects &Out) {
-  S.Parts_.UnresponsiveUntil_.erase(From.Name_);
+void onTrialMessage(State &S, const InstanceId &From,
+                    const TrialMessage &Message, Effects &Out) {
+  S.Suspicion_.UnresponsiveUntil_.erase(From.Name_);
   for (const TrialEndRow &Row : Message.Ends_) {
-    const auto Running = S.Parts_.Trials_.find(Row.Part_.Key_);
-    if (Running != S.Parts_.Trials_.end() && Running->second.Origin_ == From)
-      S.Parts_.Trials_.erase(Running);
+    const auto Running = S.Suspicion_.Trials_.find(Row.Part_.Key_);
+    if (Running != S.Suspicion_.Trials_.end() &&
+        Running->second.Origin_ == From)
+      S.Suspicion_.Trials_.erase(Running);
     if (Row.Broken_)
-      mergePartBreak(S, {Row.Part_, Row.UpstreamHash_, Row.TrialId_}, Out);
+      mergeBreak(S, {Row.Part_, Row.UpstreamHash_, Row.TrialId_}, Out);
   }
   for (const TrialRequestRow &Row : Message.Requests_)
-    S.Parts_.TrialOutbox_[From.Name_].Answers_.push_back(
+    S.Suspicion_.TrialOutbox_[From.Name_].Answers_.push_back(
         {Row.Key_, Row.Call_, permitTrial(S, Row.Key_, From, Row.Call_)});
   for (const TrialAnswerRow &Row : Message.Answers_)
     onTrialAnswer(S, From, Row, Out);
 }
 
-void tickPartTrials(State &S, Effects &Out) {
-  std::erase_if(S.Parts_.Trials_, [&](const auto &Entry) {
+void tickTrials(State &S, Effects &Out) {
+  std::erase_if(S.Suspicion_.Trials_, [&](const auto &Entry) {
     return S.Now_ - Entry.second.StartedAt_ >= TrialTimeout;
   });
   std::vector<CallId> Unanswered;
@@ -209,8 +211,9 @@
   for (const CallId Id : Unanswered) {
     Call &C = S.Calls_.at(Id);
     logWarning(Out, "part_trial_unanswered", {{"owner", C.TrialOwner_}});
-    S.Parts_.UnresponsiveUntil_[C.TrialOwner_] = S.Now_ + UnresponsivePeriod;
-    const std::uint64_t Key = suspectPartOf(S, C);
+    S.Suspicion_.UnresponsiveUntil_[C.TrialOwner_] =
+        S.Now_ + UnresponsivePeriod;
+    const std::uint64_t Key = suspectKeyOf(S, C);
     const std::string Next = trialOwner(S, Key);
     if (C.TrialRequests_ >= MaxRequestsPerCall) {
       refuseTrial(S, C, Out);
@@ -225,9 +228,9 @@
 }
 
 void flushTrialMessages(State &S, Effects &Out) {
-  for (auto &[Peer, Message] : S.Parts_.TrialOutbox_)
+  for (auto &[Peer, Message] : S.Suspicion_.TrialOutbox_)
     Out.push_back(SendToPeer{Peer, std::move(Message)});
-  S.Parts_.TrialOutbox_.clear();
+  S.Suspicion_.TrialOutbox_.clear();
 }
 
 } // namespace endivewharf
--- a/src/parttrials.h
+++ b/src/trials.h
@@ -11,7 +11,7 @@
 /// waits for a trial; one with a blocked part, or whose trial is denied, is
 /// refused and removed.
 /// @return true if the call may be sent now; if not, it may be gone
-bool admitSuspectPrompt(State &S, Call &C, Effects &Out);
+bool admitSuspect(State &S, Call &C, Effects &Out);
 
 /// Ends the trial of a call, if it has one, without a result.
 void endTrial(State &S, Call &C);
@@ -24,12 +24,12 @@
                     std::uint32_t UpstreamHash, std::uint32_t TrialId);
 
 /// Handles requests for trials, answers and results of a peer.
-void onPartTrialMessage(State &S, const InstanceId &From,
-                        const PartTrialMessage &Message, Effects &Out);
+void onTrialMessage(State &S, const InstanceId &From,
+                    const TrialMessage &Message, Effects &Out);
 
 /// Asks other processes for trials that were not answered and forgets trials
 /// without a result.
-void tickPartTrials(State &S, Effects &Out);
+void tickTrials(State &S, Effects &Out);
 
 /// Sends the rows that have been collected for each peer.
 void flushTrialMessages(State &S, Effects &Out);
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -5,11 +5,11 @@
 #include "aggregators.h"
 #include "diagnostics.h"
 #include "membership.h"
-#include "promptparts.h"
 #include "requestlimits.h"
 #include "restore.h"
 #include "router.h"
 #include "storereaders.h"
+#include "suspects.h"
 
 #include <algorithm>
 #include <fmt/format.h>
--- a/tests/prompt_parts_test.cpp
+++ b/tests/suspects_test.cpp
@@ -2,7 +2,7 @@
 // what bounds the memory against any stream of new parts.
 #include "platformfixture.h"
 
-#include "promptparts.h"
+#include "suspects.h"
 
 #include <fmt/format.h>
 
@@ -33,15 +33,15 @@
   /// Blocks a part as if a peer had found it.
   void blockPart(const std::string &Part) {
     FactsMessage Facts;
-    Facts.BlockedParts_.push_back({{{keyOf(Part), "m", Part}}, {1, 2, 3}});
-    mergePartFacts(State_, "peer", Facts, Effects_);
+    Facts.Blocks_.push_back({{{keyOf(Part), "m", Part}}, {1, 2, 3}});
+    mergeSuspectFacts(State_, "peer", Facts, Effects_);
   }
 
   std::optional<CallError> refusalOf(const CallRequest &R) {
     Call C;
     C.Request_ = R;
     C.SharedPartKeys_ = sharedPartKeys(R);
-    return checkBlockedParts(State_, C);
+    return checkBlocked(State_, C);
   }
 
   Effects Effects_;
@@ -70,9 +70,9 @@
 
 TEST_F(PromptPartsTest, blockOfTwoParts_promptHasOne_isNotRefused) {
   FactsMessage Facts;
-  Facts.BlockedParts_.push_back(
+  Facts.Blocks_.push_back(
       {{{keyOf("first"), "m", "first"}, {keyOf("dead"), "m", "dead"}}, {1}});
-  mergePartFacts(State_, "peer", Facts, Effects_);
+  mergeSuspectFacts(State_, "peer", Facts, Effects_);
   EXPECT_FALSE(refusalOf(prompt("r1", {"first", "own"})));
   EXPECT_TRUE(refusalOf(prompt("r2", {"first", "dead", "own"})));
 }
@@ -94,13 +94,13 @@
     FactsMessage Facts;
     const std::string Part = fmt::format("new-{}", I);
     for (std::uint32_t Upstream = 0; Upstream < 2; ++Upstream)
-      Facts.PartBreaks_.push_back(
+      Facts.Breaks_.push_back(
           {{keyOf(Part), "m", Part}, 100 + I % 50 + Upstream, 0});
-    mergePartFacts(State_, "peer", Facts, Effects_);
-    State_.Parts_.FactsOutbox_ = {};
+    mergeSuspectFacts(State_, "peer", Facts, Effects_);
+    State_.Suspicion_.FactsOutbox_ = {};
     Effects_.clear();
   }
-  EXPECT_LE(State_.Parts_.Suspects_.size(), MaxSuspects);
+  EXPECT_LE(State_.Suspicion_.Suspects_.size(), MaxSuspects);
   EXPECT_TRUE(refusalOf(prompt("r1", {"dead", "own"})));
 }
 
@@ -110,7 +110,8 @@
     C.SharedPartKeys_ = {keyOf("common"), keyOf(fmt::format("p-{}", I))};
     recordAnswerBegun(State_, C, Effects_);
   }
-  EXPECT_LE(State_.Parts_.Cleared_[0].size() + State_.Parts_.Cleared_[1].size(),
+  EXPECT_LE(State_.Suspicion_.Cleared_[0].size() +
+                State_.Suspicion_.Cleared_[1].size(),
             MaxClearedParts);
   EXPECT_TRUE(isCleared(State_, keyOf("common")));
 }
