Requests that end upstreams: a whole request is judged, tried and blocked like a part of prompts

Cause: suspicion went by the shared parts of prompts alone, so a request without a prompt had no identity and was sent like any other, by processes that had themselves seen it end upstreams. The same gap the other way round: a prompt that is deadly as a whole got the parts blocked that sound prompts share.

A request is one more suspect beside the parts (SuspectName, a variant), by caller, method, host, path, body and prompt. Single breaks go to three processes only, broken trials also to the control log. Answers of status 500 clear nothing any more: a faulty upstream may fail what it has not run.

Ruled out: failover as the cause (a booking, never sent on, ended as many upstreams), processes that judge alone.

--- a/src/calls.cpp
+++ b/src/calls.cpp
@@ -11,6 +11,7 @@
 #include "resume.h"
 #include "routed.h"
 #include "router.h"
+#include "suspects.h"
 #include "trials.h"
 #include "xxhash.h"
 #include <algorithm>
@@ -60,6 +61,9 @@
   C.Account_ = Account->second.Name_;
   if (auto Error = checkTarget(S, C))
     return Error;
+  fillSuspectKeys(C);
+  if (auto Error = checkBlocked(S, C))
+    return Error;
   if (S.CallByRequestId_.count(C.RequestId_) > 0)
     return CallError{ErrorKind::BadRequest, RunState::NotRun,
                      "a request with this ID is under way", 0};
@@ -68,16 +72,18 @@
 
 void logRefusal(const State &S, const Call &C, const CallError &Error,
                 Effects &Out) {
-  logWarning(Out, "refused",
-             {{"request", C.RequestId_},
-              {"route", C.Request_.Route_},
-              {"account", C.Account_},
-              {"error", std::string(name(Error.Kind_))},
-              {"run", std::string(name(Error.RunState_))},
-              {"detail", Error.Detail_},
-              {"retry_after_ms", std::to_string(Error.RetryAfter_)},
-              {"age_ms", std::to_string(S.Now_ - C.ArrivedAt_)},
-              {"config", std::to_string(S.Config_.Version_)}});
+  LogFields Fields = {{"request", C.RequestId_},
+                      {"route", C.Request_.Route_},
+                      {"account", C.Account_},
+                      {"error", std::string(name(Error.Kind_))},
+                      {"run", std::string(name(Error.RunState_))},
+                      {"detail", Error.Detail_},
+                      {"retry_after_ms", std::to_string(Error.RetryAfter_)},
+                      {"age_ms", std::to_string(S.Now_ - C.ArrivedAt_)},
+                      {"config", std::to_string(S.Config_.Version_)}};
+  if (!Error.Basis_.empty())
+    Fields.emplace_back("basis", Error.Basis_);
+  logWarning(Out, "refused", std::move(Fields));
 }
 
 std::string newRequestId(State &S) {
--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -83,17 +83,46 @@
   F("bad", R.RolledBack_);
   F("reason", R.Reason_);
 }
-template <SameIgnoringConst<PartName> T, typename V>
+/// Encoded form of a SuspectName. Processes that know no whole requests read
+/// one as a part that no prompt has.
+struct SuspectRow {
+  std::uint64_t Key_ = 0;
+  std::string Model_; ///< Model of a part, route of a request.
+  std::string Id_;    ///< ID of a part, account of a request.
+  bool IsRequest_ = false;
+  std::vector<std::uint64_t> PartKeys_;
+};
+template <SameIgnoringConst<SuspectRow> T, typename V>
 void visitFields(T &R, V &&F) {
   F("key", R.Key_);
   F("model", R.Model_);
   F("id", R.Id_);
+  F("whole_request", R.IsRequest_);
+  F("parts", R.PartKeys_);
+}
+
+struct SuspectRowMaker {
+  SuspectRow operator()(const PartName &Name) const {
+    return {Name.Key_, Name.Model_, Name.Id_, false, {}};
+  }
+  SuspectRow operator()(const RequestName &Name) const {
+    return {Name.Key_, Name.Route_, Name.Account_, true, Name.PartKeys_};
+  }
+};
+
+SuspectName suspectName(SuspectRow Row) {
+  if (Row.IsRequest_)
+    return RequestName{Row.Key_, std::move(Row.Model_), std::move(Row.Id_),
+                       std::move(Row.PartKeys_)};
+  return PartName{Row.Key_, std::move(Row.Model_), std::move(Row.Id_)};
 }
+
 template <SameIgnoringConst<BreakRow> T, typename V>
 void visitFields(T &R, V &&F) {
-  F("part", R.Part_);
+  F("part", R.Name_);
   F("upstream", R.UpstreamHash_);
   F("trial", R.TrialId_);
+  F("request", R.RequestKey_);
 }
 template <SameIgnoringConst<ClearedRow> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -101,7 +130,7 @@
 }
 template <SameIgnoringConst<BlockFact> T, typename V>
 void visitFields(T &R, V &&F) {
-  F("parts", R.Parts_);
+  F("parts", R.Names_);
   F("upstreams", R.UpstreamHashes_);
   F("lifted", R.Lifted_);
 }
@@ -265,10 +294,11 @@
 }
 template <SameIgnoringConst<TrialEndRow> T, typename V>
 void visitFields(T &R, V &&F) {
-  F("part", R.Part_);
+  F("part", R.Name_);
   F("broken", R.Broken_);
   F("upstream", R.UpstreamHash_);
   F("trial", R.TrialId_);
+  F("request", R.RequestKey_);
 }
 template <SameIgnoringConst<TrialMessage> T, typename V>
 void visitFields(T &R, V &&F) {
@@ -422,6 +452,13 @@
   F("rows", R.Rows_);
 }
 
+template <SameIgnoringConst<BreaksRecord> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("writer", R.Writer_);
+  F("unix_ms", R.UnixMs_);
+  F("rows", R.Rows_);
+}
+
 template <typename T>
 concept HasFields = requires(T &R) {
   visitFields(R, [](auto &&...) {});
@@ -431,6 +468,8 @@
 
 template <typename T> Json toArray(const T &Value);
 template <typename T> Json toObject(const T &Value);
+Json toArray(const SuspectName &Name);
+Json toObject(const SuspectName &Name);
 
 template <typename T> Json toArray(const std::vector<T> &Values) {
   Json Result = Json::array();
@@ -471,10 +510,19 @@
   }
 }
 
+Json toArray(const SuspectName &Name) {
+  return toArray(std::visit(SuspectRowMaker{}, Name));
+}
+Json toObject(const SuspectName &Name) {
+  return toObject(std::visit(SuspectRowMaker{}, Name));
+}
+
 // --- Decoding; a Json exception means CodecError::WrongShape ---
 
 template <typename T> void readArray(const Json &From, T &To);
 template <typename T> void readObject(const Json &From, T &To);
+void readArray(const Json &From, SuspectName &To);
+void readObject(const Json &From, SuspectName &To);
 
 template <typename T> void readArray(const Json &From, std::vector<T> &To) {
   if (!From.is_array())
@@ -535,6 +583,17 @@
   }
 }
 
+void readArray(const Json &From, SuspectName &To) {
+  SuspectRow Row;
+  readArray(From, Row);
+  To = suspectName(std::move(Row));
+}
+void readObject(const Json &From, SuspectName &To) {
+  SuspectRow Row;
+  readObject(From, Row);
+  To = suspectName(std::move(Row));
+}
+
 // --- Names of types, by number ---
 
 constexpr std::array MessageNames = {
@@ -543,9 +602,10 @@
     "sums",     "usage",        "hosts_request", "hosts",
     "quota",    "part_trial"};
 constexpr std::array RecordNames = {
-    "config",  "note",  "lease_acquire", "lease_renew", "share",
-    "verdict", "claim", "claim_release", "claim_done",  "snapshot",
-    "join",    "usage", "usage_counts",  "work",        "blocked_parts"};
+    "config",       "note",     "lease_acquire", "lease_renew",
+    "share",        "verdict",  "claim",         "claim_release",
+    "claim_done",   "snapshot", "join",          "usage",
+    "usage_counts", "work",     "blocked_parts", "breaks"};
 static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>);
 static_assert(RecordNames.size() == std::variant_size_v<LogRecord>);
 
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -112,7 +112,13 @@
     markApplied();
   }
 
-  void operator()(const BlockRecord &R) const { mergeBlock(S_, R.Fact_, Out_); }
+  void operator()(const BlockRecord &R) const {
+    mergeBlock(S_, R.Fact_, "log", Out_);
+  }
+
+  void operator()(const BreaksRecord &R) const {
+    mergeBreaksRecord(S_, R, Out_);
+  }
 
   void operator()(const SnapshotRecord &R) const {
     // A snapshot is usable only if its writer had read all records that this
@@ -186,6 +192,7 @@
          std::holds_alternative<ClaimDoneRecord>(Record) ||
          std::holds_alternative<VerdictRecord>(Record) ||
          std::holds_alternative<BlockRecord>(Record) ||
+         std::holds_alternative<BreaksRecord>(Record) ||
          std::holds_alternative<JoinRecord>(Record) ||
          std::holds_alternative<UsageRecord>(Record);
 }
@@ -383,8 +390,8 @@
   Control.NoteVersion_ = S.Release_.NoteVersion_;
   for (const auto &[Model, Rollout] : S.Release_.Rollouts_)
     Control.Rollouts_.push_back(Rollout.Row_);
-  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
-    Control.Blocks_.push_back(Fact);
+  for (const auto &[Key, Known] : S.Suspicion_.Blocks_)
+    Control.Blocks_.push_back(Known.Fact_);
   return Control;
 }
 
@@ -411,7 +418,7 @@
 void adoptControlSnapshot(State &S, const ControlSnapshot &Control,
                           std::string_view Source, Effects &Out) {
   for (const BlockFact &Fact : Control.Blocks_)
-    mergeBlock(S, Fact, Out);
+    mergeBlock(S, Fact, Source, Out);
   if (S.Settings_.servesPlatform()) {
     adoptConfiguration(S, Control.ConfigVersion_, Control.ConfigText_, Source,
                        Out);
--- a/src/core.cpp
+++ b/src/core.cpp
@@ -85,13 +85,13 @@
   tickLease(S, Out);
   tickClaims(S);
   tickRolloutEvaluation(S, Out);
+  tickSuspects(S, Out);
+  tickTrials(S, Out);
   if (S.Settings_.servesPlatform()) {
     tickServiceRollouts(S, Out);
     tickSummaries(S, Out);
     tickQuotas(S, Out);
     tickQuotaExchange(S, Out);
-    tickSuspects(S, Out);
-    tickTrials(S, Out);
     tickUsage(S, Out);
     tickFleet(S, Out);
     tickStalledStreams(S, Out);
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -84,8 +84,8 @@
     Sum += hashText(Key, 1);
   for (const auto &[Key, Fact] : S.Release_.BadVersionFacts_)
     Sum += hashText(fmt::format("{}|{}", Key.first, Key.second), 2);
-  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
-    Sum += hashText(fmt::format("{}|{}", Key, Fact.Lifted_), 8);
+  for (const auto &[Key, Known] : S.Suspicion_.Blocks_)
+    Sum += hashText(fmt::format("{}|{}", Key, Known.Fact_.Lifted_), 8);
   return Sum;
 }
 
--- a/src/messages.h
+++ b/src/messages.h
@@ -64,25 +64,43 @@
   std::string Id_;        ///< For people; may be cut.
 };
 
-/// A request with a part broke before its answer had begun.
+/// A whole request, whoever received it (requestkey.h).
+struct RequestName {
+  std::uint64_t Key_ = 0;
+  std::string Route_;                   ///< For people; may be cut.
+  std::string Account_;                 ///< For people; may be cut.
+  std::vector<std::uint64_t> PartKeys_; ///< Shared parts of its prompt.
+};
+
+/// What may end every upstream that answers a request: a part of its prompt, or
+/// the request as a whole.
+using SuspectName = std::variant<PartName, RequestName>;
+
+/// @return key by which it is found
+inline std::uint64_t keyOf(const SuspectName &Name) {
+  return std::visit([](const auto &N) { return N.Key_; }, Name);
+}
+
+/// An attempt of a request that carries a suspect broke.
 struct BreakRow {
-  PartName Part_;
+  SuspectName Name_;
   std::uint32_t UpstreamHash_ = 0; ///< Hash of the upstream's incarnation.
   /// Number of the trial that broke, unique over all processes but for chance;
-  /// 0: it was no trial, so other requests with the part were under way.
+  /// 0: it was no trial, so other requests that carry it were under way.
   std::uint32_t TrialId_ = 0;
+  std::uint64_t RequestKey_ = 0; ///< Request that broke.
 };
 
-/// A part under which an answer has begun, so it does not end upstreams.
+/// A suspect under which an upstream has answered, so it does not end them.
 struct ClearedRow {
   std::uint64_t Key_ = 0;
 };
 
-/// Requests whose prompt has all of these parts end upstreams and are refused.
+/// Requests that carry all of these end upstreams and are refused.
 struct BlockFact {
-  std::vector<PartName> Parts_;
+  std::vector<SuspectName> Names_;
   std::vector<std::uint32_t> UpstreamHashes_; ///< Incarnations that ended.
-  bool Lifted_ = false; ///< An answer has begun under one of the parts since.
+  bool Lifted_ = false; ///< An upstream has answered under one of them since.
 };
 
 // --- Evidence for a release verdict ---
@@ -321,7 +339,7 @@
   std::vector<BlockFact> Blocks_;
 };
 
-/// Asks the owner of a suspect part for permission to try a request with it.
+/// Asks the owner of a suspect for permission to try a request that carries it.
 struct TrialRequestRow {
   std::uint64_t Key_ = 0;
   CallId Call_ = 0; ///< Call of the sender.
@@ -334,15 +352,16 @@
   bool Granted_ = false;
 };
 
-/// Ends a trial that was granted.
+/// Ends a trial that was granted, or reports a break that was no trial.
 struct TrialEndRow {
-  PartName Part_;
-  bool Broken_ = false;            ///< It broke before its answer had begun.
+  SuspectName Name_;               ///< If nothing broke, only the key counts.
+  bool Broken_ = false;            ///< An attempt broke.
   std::uint32_t UpstreamHash_ = 0; ///< Where it broke.
   std::uint32_t TrialId_ = 0;      ///< As in `BreakRow`.
+  std::uint64_t RequestKey_ = 0;   ///< As in `BreakRow`.
 };
 
-/// Lets requests with a suspect part be tried one at a time.
+/// Lets requests that carry a suspect be tried one at a time.
 struct TrialMessage {
   std::vector<TrialRequestRow> Requests_;
   std::vector<TrialAnswerRow> Answers_;
@@ -542,12 +561,19 @@
   BlockFact Fact_;
 };
 
+/// Tells processes that are cut off from their peers of breaks that count.
+struct BreaksRecord {
+  std::string Writer_; ///< Name of the process.
+  std::int64_t UnixMs_ = 0;
+  std::vector<BreakRow> Rows_;
+};
+
 using LogRecord =
     std::variant<ConfigRecord, ReleaseNoteRecord, LeaseAcquireRecord,
                  LeaseRenewRecord, ShareRecord, VerdictRecord, ClaimRecord,
                  ClaimReleaseRecord, ClaimDoneRecord, SnapshotRecord,
                  JoinRecord, UsageRecord, UsageCountsRecord, WorkRecord,
-                 BlockRecord>;
+                 BlockRecord, BreaksRecord>;
 
 /// A record with its offset; empty if it could not be decoded.
 struct LogEntry {
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -12,6 +12,7 @@
 #include "resume.h"
 #include "routed.h"
 #include "suspects.h"
+#include "trials.h"
 #include "upstreams.h"
 #include <algorithm>
 #include <fmt/format.h>
@@ -23,6 +24,7 @@
 /// Failed attempts per call; attempts that ran nothing do not count.
 constexpr int MaxAttemptFailures = 8;
 constexpr double MovingAverageWeight = 0.1;
+constexpr int FirstServerError = 500; // HTTP status
 
 /// @return true if the upstream has not accepted the call, in which case a
 ///   retry cannot run it twice
@@ -184,6 +186,7 @@
   U.AttemptMs_ += MovingAverageWeight * (DurationMs - U.AttemptMs_);
   Call &C = *Removed->Call_;
   recordVersionOutcome(S, Removed->Attempt_, C, false, Out);
+  recordAnswerComplete(S, C, Out);
   if (C.Request_.Kind_ == CallKind::Routed) {
     finishRoutedStream(S, C, Out);
     dispatchQueuedCalls(S, Out);
@@ -227,9 +230,10 @@
               {"detail", E.Detail_}});
   if (E.Leaving_)
     markLeaving(S, Host, "engine", Out);
+  const bool Explained = recordBreak(S, C, A, E.Failure_, Out);
   if (C.Request_.Kind_ == CallKind::Routed) {
-    // A break that a suspect part explains says nothing about the version.
-    if (!recordBreak(S, C, A, E.Failure_, Out))
+    // A break that a suspect explains says nothing about the version.
+    if (!Explained)
       recordVersionOutcome(S, A, C, !isNotRunFailure(E.Failure_), Out);
     retryRoutedCall(S, C, A, E, Out);
   } else if (C.Request_.Kind_ == CallKind::Completion) {
@@ -264,9 +268,16 @@
     return;
   recordAttemptSuccess(S, Removed->Attempt_.Upstream_);
   Call &C = *Removed->Call_;
-  if (C.Request_.Kind_ == CallKind::Routed) {
+  // An upstream may fail a request before it runs it.
+  if (E.Status_ < FirstServerError) {
     recordAnswerBegun(S, C, Out);
-    recordVersionOutcome(S, Removed->Attempt_, C, E.Status_ >= 500, Out);
+    recordAnswerComplete(S, C, Out);
+  } else {
+    endTrial(S, C);
+  }
+  if (C.Request_.Kind_ == CallKind::Routed) {
+    recordVersionOutcome(S, Removed->Attempt_, C, E.Status_ >= FirstServerError,
+                         Out);
     onRoutedAnswer(S, C, Removed->Attempt_, E, Out);
     dispatchQueuedCalls(S, Out);
     return;
--- a/src/restore.cpp
+++ b/src/restore.cpp
@@ -101,9 +101,9 @@
       queueLogRecord(S, ShareRecord{S.Lease_.Epoch_, Row.NoteVersion_, Service,
                                     Row.Share_, "written again"});
   }
-  for (const auto &[Key, Fact] : S.Suspicion_.Blocks_)
-    if (Keys.Blocks_.count({Key, Fact.Lifted_}) == 0)
-      queueLogRecord(S, BlockRecord{Fact});
+  for (const auto &[Key, Known] : S.Suspicion_.Blocks_)
+    if (Keys.Blocks_.count({Key, Known.Fact_.Lifted_}) == 0)
+      queueLogRecord(S, BlockRecord{Known.Fact_});
 }
 
 } // namespace endivewharf
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -7,7 +7,6 @@
 #include "dispatch.h"
 #include "fleet.h"
 #include "quota.h"
-#include "requestkey.h"
 #include "router.h"
 #include "suspects.h"
 #include "upstreams.h"
@@ -67,9 +66,7 @@
     TokenCount += Part.Tokens_;
     C.PrefixTokens_.push_back(TokenCount);
   }
-  C.SharedPartKeys_ = sharedPartKeys(C.Request_);
-  C.RequestKey_ = requestKey(C.Request_, C.Account_.empty() ? C.Request_.ApiKey_
-                                                            : C.Account_);
+  fillSuspectKeys(C);
 }
 
 /// Sets the fields that the route determines. Calls of the service's
--- a/src/state.h
+++ b/src/state.h
@@ -184,7 +184,7 @@
   std::vector<std::uint64_t> SharedPartKeys_;
   bool BrokenBeforeAnswer_ =
       false;                   ///< An attempt broke before its first event.
-  std::uint64_t TrialKey_ = 0; ///< Suspect part that it may try; 0: none.
+  std::uint64_t TrialKey_ = 0; ///< Suspect that it may try; 0: none.
   std::string TrialOwner_;     ///< Process that was asked for the trial.
   Millis TrialAskedAt_ = 0;    ///< When it was asked.
   int TrialRequests_ = 0;      ///< How often processes were asked.
@@ -460,35 +460,45 @@
   bool ClockOffsetKnown_ = false;
 };
 
-// --- Parts of prompts ---
+// --- What may end upstreams ---
 
-/// A part that was in requests that broke before their answer had begun.
+/// Something that was carried by requests whose attempts broke.
 struct Suspect {
-  PartName Name_;
-  /// Numbers of the trials that broke, by hash of the upstream's incarnation;
-  /// none if other requests broke there.
-  std::map<std::uint32_t, std::set<std::uint32_t>> Breaks_;
+  SuspectName Name_;
+  /// Requests whose trials broke, by number of the trial and hash of the
+  /// upstream's incarnation; none if only other requests broke there.
+  std::map<std::uint32_t, std::map<std::uint32_t, std::uint64_t>> Breaks_;
   Millis LastBreakAt_ = 0;
 };
 
-/// A trial of a suspect part that this process has permitted as its owner.
+/// A block in force or lifted, and how this process knows of it.
+struct Block {
+  BlockFact Fact_;
+  std::string Source_; ///< `own`, `log` or the name of a peer.
+  Millis LearntAt_ = 0;
+};
+
+/// A trial of a suspect that this process has permitted as its owner.
 struct Trial {
   InstanceId Origin_;
   CallId Call_ = 0;
   Millis StartedAt_ = 0;
 };
 
-/// What is known about parts of prompts that may end upstreams.
+/// Keys in two generations: a full one replaces the older.
+using KeyGenerations = std::array<std::unordered_set<std::uint64_t>, 2>;
+
+/// What is known about parts of prompts and requests that may end upstreams.
 struct SuspicionState {
-  /// Keys of parts under which an answer has begun, in two generations: a full
-  /// one replaces the older.
-  std::array<std::unordered_set<std::uint64_t>, 2> Cleared_;
+  KeyGenerations ClearedParts_;    ///< Answers have begun under them.
+  KeyGenerations ClearedRequests_; ///< They have been answered.
   std::map<std::uint64_t, Suspect> Suspects_; ///< By key.
-  /// By hash of the keys of all parts of the fact.
-  std::map<std::uint64_t, BlockFact> Blocks_;
-  /// Trials under way of the parts that this process owns, by key.
+  /// By hash of the keys of all names of the fact.
+  std::map<std::uint64_t, Block> Blocks_;
+  /// Trials under way of the suspects that this process owns, by key.
   std::map<std::uint64_t, Trial> Trials_;
-  FactsMessage FactsOutbox_;                        ///< New facts to gossip.
+  FactsMessage FactsOutbox_;        ///< New facts to gossip.
+  std::vector<BreakRow> LogOutbox_; ///< Breaks for the control log.
   std::map<std::string, TrialMessage> TrialOutbox_; ///< By peer.
   /// Peers that have left a trial request unanswered, and until when they are
   /// not asked.
--- a/src/suspects.h
+++ b/src/suspects.h
@@ -1,5 +1,5 @@
-// Finds parts of prompts that end every upstream that begins to answer them,
-// from the requests of all processes that broke before their answer had begun.
+// Finds what ends every upstream that answers it, a part of prompts or a whole
+// request, from the attempts of all processes that broke.
 #pragma once
 
 #include "state.h"
@@ -15,30 +15,38 @@
 ///   share: all but the last, which belongs to the request or its session
 std::vector<std::uint64_t> sharedPartKeys(const CallRequest &Request);
 
-/// Key under which a block is stored, the same for any order of its parts.
+/// Sets the keys by which a call's request and its shared parts are judged. The
+/// call's account must be known.
+void fillSuspectKeys(Call &C);
+
+/// Key under which a block is stored, the same for any order of its names.
 std::uint64_t blockKey(const BlockFact &Fact);
 
-/// @return true if requests with a part are refused, whatever else they hold
+/// @return true if requests that carry this are refused, whatever else they
+///   carry
 bool isBlockedAlone(const State &S, std::uint64_t Key);
 
-/// @return true if an answer has begun under a part
+/// @return true if an upstream has answered under this
 bool isCleared(const State &S, std::uint64_t Key);
 
 /// Checks a new request before anything is charged for it.
-/// @return the refusal if its prompt has all parts of a block
+/// @return the refusal if it carries all names of a block
 std::optional<CallError> checkBlocked(State &S, const Call &C);
 
-/// @return key of the part for which the call's next attempt needs a trial; 0:
-///   none
+/// @return key of the suspect for which the call's next attempt needs a trial;
+///   0: none
 std::uint64_t suspectKeyOf(const State &S, const Call &C);
 
-/// Clears the parts of a call whose answer has begun.
+/// Clears the parts of a call's prompt: its answer has begun.
 void recordAnswerBegun(State &S, Call &C, Effects &Out);
 
-/// Records that an attempt failed. One that broke before its first event is
-/// evidence on the parts that are not cleared, and blocks them if it was the
-/// last of enough trials.
-/// @return true if a suspect part explains the failure
+/// Clears a call's request: it has been answered in full.
+void recordAnswerComplete(State &S, Call &C, Effects &Out);
+
+/// Records that an attempt failed. One that broke is evidence on the request
+/// and, before its first event, on the parts that are not cleared; it blocks
+/// them if it was the last of enough trials.
+/// @return true if a suspect explains the failure
 bool recordBreak(State &S, Call &C, const Attempt &A, AttemptFailure Failure,
                  Effects &Out);
 
@@ -46,22 +54,27 @@
 /// @return true if it was new
 bool mergeBreak(State &S, const BreakRow &Row, Effects &Out);
 
-/// Merges all facts on parts in a peer's message and gossips the new ones.
+/// Merges breaks from the control log, unless they are too old to count.
+void mergeBreaksRecord(State &S, const BreaksRecord &Record, Effects &Out);
+
+/// Merges all facts on suspects in a peer's message and gossips the new ones.
 /// @param From name of the peer
 void mergeSuspectFacts(State &S, const std::string &From,
                        const FactsMessage &Facts, Effects &Out);
 
 /// Merges a block from a peer or the control log.
-void mergeBlock(State &S, const BlockFact &Fact, Effects &Out);
+/// @param Source name of the peer, or `log`
+void mergeBlock(State &S, const BlockFact &Fact, std::string_view Source,
+                Effects &Out);
 
-/// Adds what this process knows of parts to a message with all facts.
+/// Adds what this process knows of suspects to a message with all facts.
 void addSuspectFacts(const State &S, FactsMessage &Facts);
 
-/// Forgets which parts are cleared when a service has hosts of other versions
-/// only than those under which they were.
+/// Forgets what is cleared when a service has hosts of other versions only than
+/// those under which it was.
 void forgetClearedUnderOldVersions(State &S, std::span<const HostRow> Hosts);
 
-/// Drops old suspicions and gossips new facts.
+/// Drops old suspicions and passes on new facts.
 void tickSuspects(State &S, Effects &Out);
 
 } // namespace endivewharf
--- a/src/trials.cpp
+++ b/src/trials.cpp
@@ -21,6 +21,9 @@
 constexpr int MaxRequestsPerCall = 2;
 constexpr Millis DeniedRetryAfter = 500; // ms; most trials are over by then
 constexpr std::uint64_t OwnerRankSeed = 10;
+/// Processes, in the order in which they would own a suspect, that are told of
+/// a single break: one of them may end or be cut off.
+constexpr std::size_t ObserverCount = 3;
 
 std::uint64_t ownerRank(std::uint64_t Key, const std::string &Process) {
   return XXH3_64bits_withSeed(Process.data(), Process.size(),
@@ -33,23 +36,30 @@
          S.Now_ >= Found->second;
 }
 
-/// @return name of the process that permits a part's trials
+/// @return names of the processes that may own a suspect; the first one does
+std::vector<std::string> trialOwners(const State &S, std::uint64_t Key,
+                                     std::size_t Count) {
+  std::vector<std::pair<std::uint64_t, std::string>> Ranked;
+  if (S.Stage_ == Stage::Serving)
+    Ranked.emplace_back(ownerRank(Key, S.Self_.Name_), S.Self_.Name_);
+  for (const auto &[Name, Peer] : S.Membership_.Peers_)
+    if (Peer.Alive_ && !Peer.Row_.Draining_ && isResponsive(S, Name))
+      Ranked.emplace_back(ownerRank(Key, Name), Name);
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  Ranked.resize(std::min(Ranked.size(), Count));
+  std::vector<std::string> Names;
+  for (auto &[Rank, Name] : Ranked)
+    Names.push_back(std::move(Name));
+  return Names;
+}
+
+/// @return name of the process that permits a suspect's trials
 std::string trialOwner(const State &S, std::uint64_t Key) {
-  std::string Owner = S.Self_.Name_;
-  std::uint64_t Highest =
-      S.Stage_ == Stage::Serving ? ownerRank(Key, Owner) : 0;
-  for (const auto &[Name, Peer] : S.Membership_.Peers_) {
-    const std::uint64_t Rank = ownerRank(Key, Name);
-    if (!Peer.Alive_ || Peer.Row_.Draining_ || !isResponsive(S, Name) ||
-        Rank <= Highest)
-      continue;
-    Highest = Rank;
-    Owner = Name;
-  }
-  return Owner;
+  const std::vector<std::string> Owners = trialOwners(S, Key, 1);
+  return Owners.empty() ? S.Self_.Name_ : Owners.front();
 }
 
-/// Decides as a part's owner on a trial.
+/// Decides as a suspect's owner on a trial.
 bool permitTrial(State &S, std::uint64_t Key, const InstanceId &Origin,
                  CallId Id) {
   if (isBlockedAlone(S, Key))
@@ -65,7 +75,7 @@
 }
 
 void logTrial(const State &S, const Call &C, bool Granted, Effects &Out) {
-  logEvent(Out, "part_trial",
+  logEvent(Out, "trial",
            {{"request", C.RequestId_},
             {"key", fmt::format("{:x}", suspectKeyOf(S, C))},
             {"owner", C.TrialOwner_},
@@ -73,22 +83,28 @@
             {"granted", Granted ? "yes" : "no"}});
 }
 
-/// Refuses a call because of a part of its prompt.
-void refusePrompt(State &S, Call &C, ErrorKind Kind, std::string Detail,
-                  Millis RetryAfter, Effects &Out) {
-  const RunState Run = runStateOf(S, C);
-  const bool NotRun = Run == RunState::NotRun;
-  refuseCall(S, C,
-             {NotRun ? Kind : ErrorKind::UpstreamFailed, Run, std::move(Detail),
-              NotRun ? RetryAfter : 0},
-             Out);
+/// Refuses a call because of what it carries.
+void refuseCarrier(State &S, Call &C, CallError Error, Effects &Out) {
+  Error.RunState_ = runStateOf(S, C);
+  if (Error.RunState_ != RunState::NotRun) {
+    Error.Kind_ = ErrorKind::UpstreamFailed;
+    Error.RetryAfter_ = 0;
+  }
+  refuseCall(S, C, std::move(Error), Out);
 }
 
 void refuseTrial(State &S, Call &C, Effects &Out) {
-  incrementCounter(S, "refused_part_on_trial");
-  refusePrompt(S, C, ErrorKind::PartOnTrial,
-               "a part of the prompt may end upstreams and is being tried",
-               DeniedRetryAfter, Out);
+  const bool OfRequest = suspectKeyOf(S, C) == C.RequestKey_;
+  incrementCounter(S, OfRequest ? "refused_request_on_trial"
+                                : "refused_part_on_trial");
+  refuseCarrier(
+      S, C,
+      {OfRequest ? ErrorKind::RequestOnTrial : ErrorKind::PartOnTrial,
+       RunState::NotRun,
+       OfRequest ? "the request may end upstreams and is being tried"
+                 : "a part of the prompt may end upstreams and is being tried",
+       DeniedRetryAfter, ""},
+      Out);
 }
 
 void askOwner(State &S, Call &C, std::uint64_t Key, const std::string &Owner) {
@@ -96,14 +112,14 @@
   C.TrialOwner_ = Owner;
   C.TrialAskedAt_ = S.Now_;
   ++C.TrialRequests_;
-  incrementCounter(S, "part_trial_requests");
+  incrementCounter(S, "trial_requests");
   S.Suspicion_.TrialOutbox_[Owner].Requests_.push_back({Key, C.Id_});
 }
 
 /// Tells a trial's owner that it is over.
 void sendEnd(State &S, const std::string &Owner, TrialEndRow Row) {
   if (Owner == S.Self_.Name_)
-    S.Suspicion_.Trials_.erase(Row.Part_.Key_);
+    S.Suspicion_.Trials_.erase(keyOf(Row.Name_));
   else if (!Owner.empty())
     S.Suspicion_.TrialOutbox_[Owner].Ends_.push_back(std::move(Row));
 }
@@ -123,7 +139,7 @@
   if (C == nullptr || C->Phase_ != CallPhase::AwaitingTrial ||
       C->TrialOwner_ != From.Name_) {
     if (Row.Granted_)
-      sendEnd(S, From.Name_, {{Row.Key_, "", ""}, false, 0, 0});
+      sendEnd(S, From.Name_, {PartName{Row.Key_, "", ""}, false, 0, 0, 0});
     return;
   }
   if (Row.Granted_) {
@@ -134,13 +150,22 @@
   refuseTrial(S, *C, Out);
 }
 
+/// Merges a break that a peer has reported, or tells it what is cleared.
+void onReportedBreak(State &S, const InstanceId &From, const TrialEndRow &Row,
+                     Effects &Out) {
+  FactsMessage Facts;
+  Facts.Breaks_.push_back(
+      {Row.Name_, Row.UpstreamHash_, Row.TrialId_, Row.RequestKey_});
+  mergeSuspectFacts(S, From.Name_, Facts, Out);
+}
+
 } // namespace
 
 bool admitSuspect(State &S, Call &C, Effects &Out) {
-  if (C.SharedPartKeys_.empty())
+  if (C.RequestKey_ == 0)
     return true;
   if (auto Error = checkBlocked(S, C)) {
-    refusePrompt(S, C, Error->Kind_, std::move(Error->Detail_), 0, Out);
+    refuseCarrier(S, C, std::move(*Error), Out);
     return false;
   }
   if (C.TrialKey_ != 0)
@@ -171,25 +196,34 @@
   if (C.TrialKey_ == 0)
     return;
   sendEnd(S, C.TrialOwner_,
-          {{std::exchange(C.TrialKey_, 0), "", ""}, false, 0, 0});
+          {PartName{std::exchange(C.TrialKey_, 0), "", ""}, false, 0, 0, 0});
 }
 
-void endBrokenTrial(State &S, Call &C, const PartName &Part,
+void endBrokenTrial(State &S, Call &C, const SuspectName &Name,
                     std::uint32_t UpstreamHash, std::uint32_t TrialId) {
   C.TrialKey_ = 0;
-  sendEnd(S, C.TrialOwner_, {Part, true, UpstreamHash, TrialId});
+  sendEnd(S, C.TrialOwner_, {Name, true, UpstreamHash, TrialId, C.RequestKey_});
+}
+
+void reportBreak(State &S, const BreakRow &Row) {
+  for (const std::string &Observer :
+       trialOwners(S, keyOf(Row.Name_), ObserverCount))
+    if (Observer != S.Self_.Name_)
+      S.Suspicion_.TrialOutbox_[Observer].Ends_.push_back(
+          {Row.Name_, true, Row.UpstreamHash_, Row.TrialId_, Row.RequestKey_});
 }
 
 void onTrialMessage(State &S, const InstanceId &From,
                     const TrialMessage &Message, Effects &Out) {
   S.Suspicion_.UnresponsiveUntil_.erase(From.Name_);
   for (const TrialEndRow &Row : Message.Ends_) {
-    const auto Running = S.Suspicion_.Trials_.find(Row.Part_.Key_);
-    if (Running != S.Suspicion_.Trials_.end() &&
+    const bool IsReport = Row.Broken_ && Row.TrialId_ == 0;
+    const auto Running = S.Suspicion_.Trials_.find(keyOf(Row.Name_));
+    if (!IsReport && Running != S.Suspicion_.Trials_.end() &&
         Running->second.Origin_ == From)
       S.Suspicion_.Trials_.erase(Running);
     if (Row.Broken_)
-      mergeBreak(S, {Row.Part_, Row.UpstreamHash_, Row.TrialId_}, Out);
+      onReportedBreak(S, From, Row, Out);
   }
   for (const TrialRequestRow &Row : Message.Requests_)
     S.Suspicion_.TrialOutbox_[From.Name_].Answers_.push_back(
@@ -210,7 +244,7 @@
   std::sort(Unanswered.begin(), Unanswered.end());
   for (const CallId Id : Unanswered) {
     Call &C = S.Calls_.at(Id);
-    logWarning(Out, "part_trial_unanswered", {{"owner", C.TrialOwner_}});
+    logWarning(Out, "trial_unanswered", {{"owner", C.TrialOwner_}});
     S.Suspicion_.UnresponsiveUntil_[C.TrialOwner_] =
         S.Now_ + UnresponsivePeriod;
     const std::uint64_t Key = suspectKeyOf(S, C);
--- a/src/trials.h
+++ b/src/trials.h
@@ -1,5 +1,5 @@
-// Lets requests with a suspect part be tried one at a time over all processes.
-// A part's owner, chosen by a hash among the live processes, permits the
+// Lets requests that carry a suspect be tried one at a time over all processes.
+// A suspect's owner, chosen by a hash among the live processes, permits the
 // trials. Processes that disagree on the owner may permit one trial each.
 #pragma once
 
@@ -7,22 +7,25 @@
 
 namespace endivewharf {
 
-/// Checks a call for which an upstream has room. A call with a suspect part
-/// waits for a trial; one with a blocked part, or whose trial is denied, is
-/// refused and removed.
+/// Checks a call for which an upstream has room. A call that carries a suspect
+/// waits for a trial; one that is blocked, or whose trial is denied, is refused
+/// and removed.
 /// @return true if the call may be sent now; if not, it may be gone
 bool admitSuspect(State &S, Call &C, Effects &Out);
 
 /// Ends the trial of a call, if it has one, without a result.
 void endTrial(State &S, Call &C);
 
-/// Ends the trial of a call that broke before its answer had begun.
-/// @param Part the part on trial
+/// Ends the trial of a call that broke.
+/// @param Name the suspect on trial
 /// @param UpstreamHash where it broke
 /// @param TrialId number of the trial
-void endBrokenTrial(State &S, Call &C, const PartName &Part,
+void endBrokenTrial(State &S, Call &C, const SuspectName &Name,
                     std::uint32_t UpstreamHash, std::uint32_t TrialId);
 
+/// Tells those who may have to permit trials of a single break.
+void reportBreak(State &S, const BreakRow &Row);
+
 /// Handles requests for trials, answers and results of a peer.
 void onTrialMessage(State &S, const InstanceId &From,
                     const TrialMessage &Message, Effects &Out);
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -36,6 +36,8 @@
     ErrorRow{ErrorKind::NotFound, "not_found", 404},
     ErrorRow{ErrorKind::PartBlocked, "part_blocked", 503},
     ErrorRow{ErrorKind::PartOnTrial, "part_on_trial", 503},
+    ErrorRow{ErrorKind::RequestBlocked, "request_blocked", 503},
+    ErrorRow{ErrorKind::RequestOnTrial, "request_on_trial", 503},
 };
 
 const ErrorRow &errorRow(ErrorKind Kind) {
--- a/src/types.h
+++ b/src/types.h
@@ -95,8 +95,10 @@
   IdempotencyKeyExpired,
   LogUnavailable,
   NotFound,
-  PartBlocked, ///< The prompt has a part that ends upstreams.
-  PartOnTrial, ///< Another request with a suspect part is tried first.
+  PartBlocked,    ///< The prompt has a part that ends upstreams.
+  PartOnTrial,    ///< Another request with a suspect part is tried first.
+  RequestBlocked, ///< The request ends upstreams.
+  RequestOnTrial, ///< The same request is being tried.
 };
 
 /// Reason for which an attempt ended without a complete answer.
@@ -116,6 +118,8 @@
   RunState RunState_ = RunState::NotRun;
   std::string Detail_;    ///< Explanation for the caller and the log.
   Millis RetryAfter_ = 0; ///< Time until a retry makes sense; 0: not stated.
+  std::string Basis_ =
+      {}; ///< For the log: how the reason is known, if it says.
 };
 
 /// @return the value's name in logs, JSON and metrics
--- a/tests/suspects_test.cpp
+++ b/tests/suspects_test.cpp
@@ -33,7 +33,7 @@
   /// Blocks a part as if a peer had found it.
   void blockPart(const std::string &Part) {
     FactsMessage Facts;
-    Facts.Blocks_.push_back({{{keyOf(Part), "m", Part}}, {1, 2, 3}});
+    Facts.Blocks_.push_back({{PartName{keyOf(Part), "m", Part}}, {1, 2, 3}});
     mergeSuspectFacts(State_, "peer", Facts, Effects_);
   }
 
@@ -70,8 +70,9 @@
 
 TEST_F(PromptPartsTest, blockOfTwoParts_promptHasOne_isNotRefused) {
   FactsMessage Facts;
-  Facts.Blocks_.push_back(
-      {{{keyOf("first"), "m", "first"}, {keyOf("dead"), "m", "dead"}}, {1}});
+  Facts.Blocks_.push_back({{PartName{keyOf("first"), "m", "first"},
+                            PartName{keyOf("dead"), "m", "dead"}},
+                           {1}});
   mergeSuspectFacts(State_, "peer", Facts, Effects_);
   EXPECT_FALSE(refusalOf(prompt("r1", {"first", "own"})));
   EXPECT_TRUE(refusalOf(prompt("r2", {"first", "dead", "own"})));
@@ -95,7 +96,7 @@
     const std::string Part = fmt::format("new-{}", I);
     for (std::uint32_t Upstream = 0; Upstream < 2; ++Upstream)
       Facts.Breaks_.push_back(
-          {{keyOf(Part), "m", Part}, 100 + I % 50 + Upstream, 0});
+          {PartName{keyOf(Part), "m", Part}, 100 + I % 50 + Upstream, 0, 0});
     mergeSuspectFacts(State_, "peer", Facts, Effects_);
     State_.Suspicion_.FactsOutbox_ = {};
     Effects_.clear();
@@ -110,8 +111,8 @@
     C.SharedPartKeys_ = {keyOf("common"), keyOf(fmt::format("p-{}", I))};
     recordAnswerBegun(State_, C, Effects_);
   }
-  EXPECT_LE(State_.Suspicion_.Cleared_[0].size() +
-                State_.Suspicion_.Cleared_[1].size(),
+  EXPECT_LE(State_.Suspicion_.ClearedParts_[0].size() +
+                State_.Suspicion_.ClearedParts_[1].size(),
             MaxClearedParts);
   EXPECT_TRUE(isCleared(State_, keyOf("common")));
 }
