--- a/standins/server.cpp
+++ b/standins/server.cpp
@@ -68,9 +68,10 @@
     Reply->addHeader("Server-Seal", "seal-" + Options_.ServerName_);
     const std::string LastEventId = headerValue(R, "last-event-id");
     const bool IsStream = R.Path_.rfind("/stream/", 0) == 0;
-    if (IsStream && !DeadlyPart_.empty() &&
-        headerValue(R, "prompt-prefix").find(DeadlyPart_) !=
-            std::string::npos) {
+    const bool HasDeadlyPart =
+        IsStream && !DeadlyPart_.empty() &&
+        headerValue(R, "prompt-prefix").find(DeadlyPart_) != std::string::npos;
+    if (HasDeadlyPart || (!DeadlyPath_.empty() && R.Path_ == DeadlyPath_)) {
       ++EndCount_;
       Reply->beginStream("text/event-stream", [] {});
       Reply->abortConnection();
@@ -104,6 +105,7 @@
     RefusalRetryAfter_ = Body.value("pause", RefusalRetryAfter_);
     EndlessBody_ = Body.value("endless_body", EndlessBody_);
     DeadlyPart_ = Body.value("deadly_part", DeadlyPart_);
+    DeadlyPath_ = Body.value("deadly_path", DeadlyPath_);
     NamedLimit_ = Body.value("limit", NamedLimit_);
   }
 
@@ -141,7 +143,8 @@
   std::string RefusalRetryAfter_;
   bool EndlessBody_ = false;
   std::string DeadlyPart_; ///< Part that breaks streams off; empty: none.
-  int EndCount_ = 0;       ///< Streams broken off because of that part.
+  std::string DeadlyPath_; ///< Path whose requests are broken off.
+  int EndCount_ = 0;       ///< Answers broken off because of these.
   std::string NamedLimit_; ///< Requests per second; empty: not named.
   int RepliesToLose_ = 0;
   /// Number of events after which a stream is aborted; below 0: never.
--- a/tests/calls_test.cpp
+++ b/tests/calls_test.cpp
@@ -59,6 +59,25 @@
   expectCompleteAnswer(W.outcome(RequestIndex), 60);
 }
 
+TEST_F(CallsTest, completion_endsItsEngines_reachesFewMoreAfterTheThird) {
+  World &W = startProcesses({}, 8);
+  int Ended = 0;
+  std::size_t Last = 0;
+  for (int I = 0; I < 12; ++I) {
+    Last = W.sendRequest(I % 4, makePromptRequest("deadly", 200));
+    for (int Step = 0; Step < 100; ++Step) {
+      W.runFor(20);
+      const int Engine = engineServing(W, I % 4);
+      if (Engine < 0)
+        continue;
+      W.killEngine(Engine);
+      ++Ended;
+    }
+  }
+  EXPECT_LE(Ended, 6);
+  EXPECT_EQ(W.outcome(Last).Error_.Kind_, ErrorKind::RequestBlocked);
+}
+
 TEST_F(CallsTest, stream_wholeCentreOfEnginesDies_goesOnElsewhere) {
   World &W = startProcesses();
   const auto RequestIndex = startStream(W, 0, 60);
--- a/tests/codec_test.cpp
+++ b/tests/codec_test.cpp
@@ -78,6 +78,31 @@
     reduce(S, {1, 1, 1, PeerReceived{*Message}});
 }
 
+TEST(CodecTest, suspects_ofBothKinds_surviveTheTrip) {
+  const RequestName Request{7, "check", "buyers", {1, 2}};
+  FactsMessage Facts;
+  Facts.Breaks_.push_back({Request, 5, 9, 7});
+  Facts.Breaks_.push_back({PartName{3, "m", "id"}, 6, 0, 0});
+  const auto Decoded = decodeMessage(encodeMessage({{"entry-9", 1}, Facts}));
+  ASSERT_TRUE(Decoded.has_value());
+  const auto &Breaks = std::get<FactsMessage>(Decoded->Message_).Breaks_;
+  ASSERT_EQ(Breaks.size(), 2u);
+  const auto &Read = std::get<RequestName>(Breaks[0].Name_);
+  EXPECT_EQ(Read.Account_, "buyers");
+  EXPECT_EQ(Read.PartKeys_, Request.PartKeys_);
+  EXPECT_EQ(Breaks[0].RequestKey_, 7u);
+  EXPECT_EQ(std::get<PartName>(Breaks[1].Name_).Id_, "id");
+}
+
+TEST(CodecTest, block_ofAProcessThatKnowsNoRequests_isOfParts) {
+  const auto Decoded = decodeRecord(
+      R"({"type":"blocked_parts","fact":{"parts":[{"key":3,"model":"m","id":"x"}],"upstreams":[1],"lifted":false}})");
+  ASSERT_TRUE(Decoded.has_value());
+  const BlockFact &Fact = std::get<BlockRecord>(*Decoded).Fact_;
+  ASSERT_EQ(Fact.Names_.size(), 1u);
+  EXPECT_EQ(std::get<PartName>(Fact.Names_[0]).Id_, "x");
+}
+
 TEST(CodecTest, message_nestedAMillionTimes_isATypedError) {
   // In CBOR, the byte 0x81 begins an array of one element.
   const std::string Nested(1'000'000, '\x81');
--- a/tests/engine_soak_test.cpp
+++ b/tests/engine_soak_test.cpp
@@ -1,7 +1,7 @@
 // Soak in simulated time: random, overlapping faults of processes, data centres
-// and engines, with a deadly part in the traffic and engines that name, change
-// and drop limits. SOAK_SEEDS sets the number of seeds for each number of
-// processes.
+// and engines, with a deadly part and a deadly request in the traffic and
+// engines that name, change and drop limits. SOAK_SEEDS sets the number of
+// seeds for each number of processes.
 #include "simulatedengines.h"
 
 #include <cstdlib>
@@ -19,6 +19,9 @@
 constexpr Millis RecoveryTime = 8000; // ms without faults before the last check
 constexpr int MaxLateArrivals = 3;    // prompts with the deadly part
 constexpr int EndsBeforeBound = 5;
+constexpr int RequestEndsBeforeBound = 3;
+constexpr int LateRequestArrivals = 3; // of the deadly request
+constexpr const char *DeadlyPath = "/check/deadly";
 constexpr double DeadlyFraction = 0.03; // of all prompts
 constexpr double MinServedAtEnd = 0.95; // of the sound prompts after recovery
 constexpr int LargeCluster = 60;        // processes
@@ -40,6 +43,7 @@
     Engines_ = std::make_unique<SimulatedEngines>(*Group_,
                                                   ProcessCount < 10 ? 12 : 24);
     Engines_->DeadlyParts_ = {"deadly"};
+    Engines_->DeadlyPaths_ = {DeadlyPath};
     Contact_ = ProcessCount > LargeCluster ? 5000 : 3000;
     run(WarmUpTime, false);
   }
@@ -49,7 +53,16 @@
                             static_cast<std::uint32_t>(Count));
   }
 
+  void sendLookup() {
+    const bool Deadly = draw(30) == 0;
+    Engines_->sendPlain(draw(Group_->size()),
+                        Deadly ? DeadlyPath
+                               : "/check/" + std::to_string(draw(100)));
+  }
+
   void sendPrompt() {
+    if (draw(5) == 0)
+      sendLookup();
     const int Process = draw(Group_->size());
     std::vector<std::string> Parts{"common",
                                    "thing-" + std::to_string(draw(108))};
@@ -128,11 +141,25 @@
       recordFault(ExcusedUntil_, I, Time);
   }
 
+  void expectBoundKept(const std::string &Cause, int Ends, int Late) const {
+    const Millis From = Engines_->endAt(Cause, Ends);
+    if (From < 0)
+      return;
+    EXPECT_LE(Engines_->arrivalsWith(Cause, From + Contact_,
+                                     [&](int Process, Millis At) {
+                                       return isBefore(StoppedUntil_, Process,
+                                                       At);
+                                     }),
+              Late)
+        << Cause;
+  }
+
   double servedFraction(Millis From) const {
     int Asked = 0;
     int Served = 0;
     for (const PromptOutcome &Outcome : Engines_->outcomes()) {
-      const bool Sound = Outcome.Parts_.size() == 3;
+      const bool Sound = Outcome.Path_ != DeadlyPath &&
+                         (Outcome.Parts_.empty() || Outcome.Parts_.size() == 3);
       if (!Sound || Outcome.SentAt_ < From ||
           Outcome.SentAt_ > Group_->Now_ - 1000)
         continue;
@@ -168,15 +195,8 @@
   run(RecoveryTime, true);
   const Millis From = Group_->Now_;
   run(4000, true);
-  const Millis Fifth = Engines_->endAt("deadly", EndsBeforeBound);
-  if (Fifth >= 0) {
-    EXPECT_LE(Engines_->arrivalsWith("deadly", Fifth + Contact_,
-                                     [&](int Process, Millis At) {
-                                       return isBefore(StoppedUntil_, Process,
-                                                       At);
-                                     }),
-              MaxLateArrivals);
-  }
+  expectBoundKept("deadly", EndsBeforeBound, MaxLateArrivals);
+  expectBoundKept(DeadlyPath, RequestEndsBeforeBound, LateRequestArrivals);
   EXPECT_LE(Engines_->largestExcess(Contact_,
                                     [&](int Process, Millis At) {
                                       return isBefore(ExcusedUntil_, Process,
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -28,6 +28,23 @@
   }
 
   int NextId_ = 0;
+  int Starts_ = 1; ///< How often each server has started.
+
+  /// Starts each server again under its name.
+  void restartServers() {
+    ++Starts_;
+    for (std::size_t I = 0; I < ServerPorts_.size(); ++I)
+      registerServer(I, "ready", Starts_);
+  }
+
+  /// @return answers that the servers have broken off because of a deadly
+  ///   request
+  int endCount() {
+    int Count = 0;
+    for (int I = 0; I < Options_.ServerCount_; ++I)
+      Count += fetchServerState(I)["ended"].get<int>();
+    return Count;
+  }
 
   /// Sends a request for a stream with a prompt in parts.
   HttpAnswer sendPrompt(int Entry, const std::string &Id,
@@ -65,31 +82,21 @@
 TEST_F(PlatformProcessTest, prompt_partEndsServers_isRefusedAsNotRunSoon) {
   for (const int Port : ServerPorts_)
     sendControl(Port, {{"deadly_part", "deadbeef"}});
-  int Starts = 1;
   HttpAnswer Last;
-  const auto EndCount = [&] {
-    int Count = 0;
-    for (int I = 0; I < Options_.ServerCount_; ++I)
-      Count += fetchServerState(I)["ended"].get<int>();
-    return Count;
-  };
   constexpr Millis ContactTime = 3000;
   Millis FifthEndAt = 0;
   int EndsInTime = 0;
   for (int I = 0; I < 30; ++I) {
     Last = sendPrompt(I % EntryCount, fmt::format("d{}", I),
                       fmt::format("aa:9,deadbeef:5,{:x}:3", 4096 + I));
-    // Each server starts again under its name.
-    ++Starts;
-    for (std::size_t J = 0; J < ServerPorts_.size(); ++J)
-      registerServer(J, "ready", Starts);
-    if (FifthEndAt == 0 && EndCount() >= 5)
+    restartServers();
+    if (FifthEndAt == 0 && endCount() >= 5)
       FifthEndAt = monotonicNow();
     if (FifthEndAt == 0 || monotonicNow() < FifthEndAt + ContactTime)
-      EndsInTime = EndCount();
+      EndsInTime = endCount();
     std::this_thread::sleep_for(std::chrono::milliseconds(200));
   }
-  EXPECT_LE(EndCount() - EndsInTime, 3);
+  EXPECT_LE(endCount() - EndsInTime, 3);
   EXPECT_EQ(Last.Status_, 503);
   // A peer tells of the last restarts before the host list has them.
   HttpAnswer Sound;
@@ -102,6 +109,33 @@
   EXPECT_EQ(Sound.Body_, completeStream());
 }
 
+TEST_F(PlatformProcessTest, lookup_endsServers_isRefusedAsNotRunSoon) {
+  for (const int Port : ServerPorts_)
+    sendControl(Port, {{"deadly_path", "/check/dead"}});
+  constexpr Millis ContactTime = 3000;
+  HttpAnswer Last;
+  Millis ThirdEndAt = 0;
+  int EndsInTime = 0;
+  for (int I = 0; I < 30; ++I) {
+    Last = sendGet(I % EntryCount, "/check/dead", fmt::format("d{}", I));
+    restartServers();
+    if (ThirdEndAt == 0 && endCount() >= 3)
+      ThirdEndAt = monotonicNow();
+    if (ThirdEndAt == 0 || monotonicNow() < ThirdEndAt + ContactTime)
+      EndsInTime = endCount();
+    std::this_thread::sleep_for(std::chrono::milliseconds(200));
+  }
+  EXPECT_GE(endCount(), 3);
+  EXPECT_LE(endCount() - EndsInTime, 3);
+  EXPECT_EQ(Last.Status_, 503);
+  EXPECT_TRUE(waitUntil(
+      [&] {
+        return sendGet(0, "/check/alive", fmt::format("s{}", ++NextId_))
+                   .Status_ == 200;
+      },
+      2000));
+}
+
 TEST_F(PlatformProcessTest, store_backFromACopy_configurationAndHostsApply) {
   const auto SendStoreControl = [&](const Json &Body) {
     ASSERT_EQ(sendControl(StorePort_, Body).Status_, 200);
