--- a/tests/simulatedengines.cpp
+++ b/tests/simulatedengines.cpp
@@ -9,6 +9,8 @@
 namespace {
 
 constexpr int EngineSlots = 32;
+constexpr Millis ConnectTimeout = 400; // ms
+constexpr Millis RefusalWindow = 1000; // ms
 
 } // namespace
 
@@ -100,6 +102,18 @@
     });
     return true;
   }
+  if (CutProcesses_.count(Process) > 0) {
+    Group_.scheduleEvent(ConnectTimeout, Process, [Key] {
+      return AttemptFailed{Key.second, AttemptFailure::NotSent, false,
+                           "no answer to the connect"};
+    });
+    return true;
+  }
+  const Engine &E = Engines_[Found->second];
+  if (E.Slots_ > 0 && runningAt(Found->second) >= E.Slots_) {
+    refuseAttempt(Key, Found->second);
+    return true;
+  }
   ++Outcomes_[Known->second].Arrivals_;
   Arrivals_.push_back({Group_.Now_, Known->second, Process, Found->second,
                        Engines_[Found->second].StartCount_});
@@ -108,12 +122,70 @@
     beginAnswer(Key);
     return CallerDisconnected{0};
   });
+  if (Start.TimeLeft_ > 0)
+    Group_.scheduleEvent(Start.TimeLeft_, Process, [this, Key]() -> EventBody {
+      if (Attempts_.erase(Key) == 0)
+        return CallerDisconnected{0};
+      return AttemptFailed{Key.second, AttemptFailure::TimedOut, false,
+                           "a time limit passed"};
+    });
   return true;
 }
 
+int SimulatedEngines::runningAt(int Index) const {
+  return static_cast<int>(
+      std::count_if(Attempts_.begin(), Attempts_.end(), [&](const auto &Entry) {
+        return Entry.second.Engine_ == Index;
+      }));
+}
+
+void SimulatedEngines::setRoom(int Index, int Slots, int Refusals) {
+  Engines_[Index].Slots_ = Slots;
+  Engines_[Index].MaxRefusals_ = Refusals;
+}
+
+void SimulatedEngines::refuseAttempt(AttemptKey Key, int Index) {
+  Engine &E = Engines_[Index];
+  Group_.scheduleEvent(PlatformGroup::StepDuration, Key.first, [Key] {
+    return AttemptFailed{Key.second, AttemptFailure::Refused, false, "full"};
+  });
+  std::erase_if(E.RefusedAt_,
+                [&](Millis At) { return At <= Group_.Now_ - RefusalWindow; });
+  E.RefusedAt_.push_back(Group_.Now_);
+  if (E.MaxRefusals_ == 0 ||
+      static_cast<int>(E.RefusedAt_.size()) <= E.MaxRefusals_)
+    return;
+  ++FallCount_;
+  E.RefusedAt_.clear();
+  endEngine(Index);
+}
+
+void SimulatedEngines::silenceEngine(int Index, Millis Time) {
+  Engines_[Index].SilentUntil_ = Group_.Now_ + Time;
+}
+
+bool SimulatedEngines::isHeldUp(AttemptKey Key,
+                                void (SimulatedEngines::*Again)(AttemptKey)) {
+  if (CutProcesses_.count(Key.first) > 0)
+    return true;
+  const Millis Until = Engines_[Attempts_.at(Key).Engine_].SilentUntil_;
+  if (Until <= Group_.Now_)
+    return false;
+  Group_.scheduleEvent(Until - Group_.Now_, Key.first,
+                       [this, Key, Again]() -> EventBody {
+                         (this->*Again)(Key);
+                         return CallerDisconnected{0};
+                       });
+  return true;
+}
+
+void SimulatedEngines::endAnswerLater(AttemptKey Key) {
+  Group_.scheduleEvent(0, Key.first, [this, Key] { return endAnswer(Key); });
+}
+
 void SimulatedEngines::beginAnswer(AttemptKey Key) {
   const auto Found = Attempts_.find(Key);
-  if (Found == Attempts_.end())
+  if (Found == Attempts_.end() || isHeldUp(Key, &SimulatedEngines::beginAnswer))
     return;
   const auto [Process, Id] = Key;
   const PromptOutcome &Outcome = Outcomes_[Found->second.Outcome_];
@@ -143,7 +215,8 @@
 
 EventBody SimulatedEngines::endAnswer(AttemptKey Key) {
   const auto Found = Attempts_.find(Key);
-  if (Found == Attempts_.end())
+  if (Found == Attempts_.end() ||
+      isHeldUp(Key, &SimulatedEngines::endAnswerLater))
     return CallerDisconnected{0};
   const RunningAttempt Attempt = Found->second;
   const PromptOutcome &Outcome = Outcomes_[Attempt.Outcome_];
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -97,6 +97,16 @@
   /// @param Contact time in ms after the first naming from which the limit
   /// binds
   /// @param IsExcused tells whether a process does not count at a time
+  /// Lets an engine run only so many requests at once and refuse all others,
+  /// and fall over when it refuses too many of them.
+  /// @param Slots requests that it runs at once
+  /// @param Refusals refused requests in a second above which it ends; 0: never
+  void setRoom(int Index, int Slots, int Refusals);
+  /// Lets an engine send nothing for a time in ms; then it goes on.
+  void silenceEngine(int Index, Millis Time);
+  /// @return how often engines have ended because they had refused too many
+  int fallCount() const { return FallCount_; }
+
   /// @return largest number of requests in any 4 s of one engine, less what its
   ///   limits allowed; counted are processes that had passed on an answer with
   ///   the limit half a second before
@@ -134,6 +144,9 @@
         return false;
       }) const;
 
+  /// Processes that reach no engine: connects are not answered, and what runs
+  /// there falls silent.
+  std::set<int> CutProcesses_;
   std::set<std::string> DeadlyParts_;
   std::set<std::string> DeadlyPaths_;
   /// Requests for deadly paths end an engine at the end of their answer, not at
@@ -147,6 +160,10 @@
     Millis RestartAt_ = 0;
     int StartCount_ = 1;
     std::optional<double> Limit_;
+    int Slots_ = 0; ///< Requests that it runs at once; 0: any number.
+    int MaxRefusals_ = 0;
+    std::vector<Millis> RefusedAt_; ///< In the last second.
+    Millis SilentUntil_ = 0;
   };
   struct RunningAttempt {
     int Engine_ = 0;
@@ -182,6 +199,15 @@
   int submit(int Process, const CallRequest &R, PromptOutcome Outcome);
   /// Ends the answer of an attempt, or the engine that runs it.
   EventBody endAnswer(AttemptKey Key);
+  /// Refuses an attempt; the engine falls over if it has refused too many.
+  void refuseAttempt(AttemptKey Key, int Index);
+  /// @return number of the requests that an engine runs
+  int runningAt(int Index) const;
+  /// Postpones an answer until its engine is no longer silent. Nothing reaches
+  /// a process that is cut off.
+  /// @return true if it was postponed or dropped
+  bool isHeldUp(AttemptKey Key, void (SimulatedEngines::*Again)(AttemptKey));
+  void endAnswerLater(AttemptKey Key);
   void endBecauseOf(int Outcome, int Engine);
 
   PlatformGroup &Group_;
@@ -198,6 +224,7 @@
   std::vector<Millis> Ends_;
   std::vector<int> EndOutcomes_; ///< Prompt that has caused each of `Ends_`.
   double ResetFraction_ = 0;
+  int FallCount_ = 0;
   std::uint64_t RandomState_ = 20261204;
 };
 
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -250,6 +250,26 @@
   EXPECT_TRUE(std::holds_alternative<AttemptEnded>(lastEvent("", true, 7)));
 }
 
+TEST_F(ClosedAnswerTest, answer_endsWithinItsHead_isNoAnswer) {
+  const std::string Marked =
+      "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nServer-Seal: s\r\n";
+  for (const std::string &CutHead :
+       {std::string("HTTP/1.1 200 OK\r\n"), Marked, Marked + "Content-Le",
+        Marked + "X: y\r\n\r", Marked.substr(0, Marked.size() - 2)})
+    for (const bool Stream : {false, true})
+      for (const std::int64_t ResumeAfter : {NoEventIndex, std::int64_t{7}})
+        EXPECT_TRUE(isBreak(lastEventOf(CutHead, Stream, ResumeAfter)))
+            << CutHead << Stream << ResumeAfter;
+}
+
+TEST_F(ClosedAnswerTest, refusal_endsWithinItsHead_saysNothing) {
+  for (const char *Status : {"503 Busy", "421 Other"})
+    EXPECT_TRUE(isBreak(
+        lastEventOf(std::string("HTTP/1.1 ") + Status +
+                        "\r\nRequest-Id: r1\r\nNot-Executed: 1\r\nContent-Ty",
+                    false)));
+}
+
 TEST_F(ClosedAnswerTest, refusal_ofTheRequest_isBelieved) {
   for (const char *Status : {"503 Busy", "429 Many", "421 Other"}) {
     const EventBody Last =
