Relay: a process that is cut off from a service passes its requests to a peer

Callers saw: 0 of 38 and 0 of 150 first tries served at processes that had lost their links to all upstreams, 503 within 3 ms or after 400 to 850 ms of connects in vain, while peers with room served 99 in 100. Cause: a process served only through its own links; what it could not place had nowhere to go. Class of fault: the failure of one's own links is taken for the failure of what lies behind them.

A service counts as unreachable when attempts go unanswered wherever they are sent, or when no upstream takes a new connection. Digests say which services a process reaches; a request goes to such a peer as an attempt at its relay_listen address, once, with account, time and upstreams that are left. Quota and usage stay with the process that has the caller.

Ruled out: that the cut is only noticed too late (requests refused within 3 ms long after it began), readiness alone (the whole zone was cut off at 47 s).

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -153,6 +153,7 @@
   F("acknowledged", R.Acknowledged_);
   F("unix_ms", R.UnixMs_);
   F("cluster_size", R.ClusterSize_);
+  F("reached", R.ReachedServices_);
 }
 template <SameIgnoringConst<LoadRow> T, typename V>
 void visitFields(T &R, V &&F) {
--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -4,6 +4,7 @@
 #include "admission.h"
 #include "calls.h"
 #include "diagnostics.h"
+#include "relay.h"
 #include "release.h"
 #include "requestlimits.h"
 #include "router.h"
@@ -163,7 +164,8 @@
     recordLatency(S, "queue", C);
   }
   incrementCounter(S, "attempts");
-  recordPrefixHolder(S, C.PrefixHashes_, Index);
+  if (!U.IsPeer_)
+    recordPrefixHolder(S, C.PrefixHashes_, Index);
 
   const bool IsService = C.Request_.Kind_ == CallKind::Service;
   const LimitSettings &Limits = S.Settings_.Limits_;
@@ -193,6 +195,9 @@
   C.FreshConnection_ = false;
   if (C.Request_.Kind_ == CallKind::Routed)
     fillRoutedFields(S, C, U, Start);
+  if (U.IsPeer_)
+    Start.Relay_ = {S.Self_.Name_, C.Account_,
+                    std::max(1, C.MaxUpstreams_ - C.UncertainAttempts_ + 1)};
   if (U.MissingSince_ != 0)
     logEvent(Out, "missing_upstream_used",
              {{"request", C.RequestId_},
@@ -201,9 +206,31 @@
   Out.push_back(std::move(Start));
 }
 
+/// Passes a queued call to a peer if this process is cut off from its service.
+/// @return true if an attempt was started
+bool tryRelayCall(State &S, Call &C, Effects &Out) {
+  const int Index = pickRelay(S, C);
+  if (Index < 0)
+    return false;
+  ++C.RelayCount_;
+  incrementCounter(S, "relays");
+  logEvent(Out, "relayed",
+           {{"request", C.RequestId_},
+            {"service", C.ServiceQueue_},
+            {"peer", S.Upstreams_[Index].Row_.Host_.Name_},
+            {"in_flight", std::to_string(S.Upstreams_[Index].InFlight_)},
+            {"age_ms", std::to_string(S.Now_ - C.ArrivedAt_)}});
+  dequeueCall(S, C);
+  recordDispatch(S, C);
+  startAttempt(S, C, Index, {}, Out);
+  return true;
+}
+
 /// Starts an attempt for a queued call if an upstream has capacity.
 /// @return true if an attempt was started
 bool tryDispatchCall(State &S, Call &C, Effects &Out) {
+  if (tryRelayCall(S, C, Out))
+    return true;
   VersionChoice Choice = chooseVersion(S, C);
   int Index = pickUpstream(S, C, Choice.Version_);
   if (Index < 0 && Choice.NewVersion_) {
--- a/src/effect.h
+++ b/src/effect.h
@@ -45,6 +45,8 @@
   /// Longest time for which a reused connection may have been idle; 0: the
   /// HTTP library's default.
   Millis MaxIdleTime_ = 0;
+  /// The request goes to a peer, which passes it to an upstream.
+  std::optional<RelayInfo> Relay_;
 };
 
 struct CancelAttempt {
--- a/src/event.h
+++ b/src/event.h
@@ -22,6 +22,13 @@
 /// Index that stands for no event of a stream.
 constexpr std::int64_t NoEventIndex = -1;
 
+/// How a peer has passed a request on.
+struct RelayInfo {
+  std::string Origin_;   ///< Name of the peer.
+  std::string Account_;  ///< Client account that it has checked and charged.
+  int MaxUpstreams_ = 1; ///< Upstreams that may still run the request.
+};
+
 /// A caller's request as the edge has parsed it.
 struct CallRequest {
   CallKind Kind_ = CallKind::Completion;
@@ -49,6 +56,7 @@
   std::int64_t ResumeAfter_ = NoEventIndex;
   /// Number of tokens that the caller expects; 0: not stated.
   std::int64_t LengthHint_ = 0;
+  std::optional<RelayInfo> Relayed_; ///< Nothing: its caller has sent it here.
 };
 
 struct RequestArrived {
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -9,6 +9,7 @@
 #include "evidence.h"
 #include "handover.h"
 #include "quotaexchange.h"
+#include "relay.h"
 #include "release.h"
 #include "storereaders.h"
 #include "summaries.h"
@@ -159,6 +160,7 @@
   Digest.UnixMs_ = S.Settings_.servesPlatform() ? correctedUnixMs(S) : 0;
   Digest.ClusterSize_ =
       static_cast<std::int64_t>(S.Membership_.Peers_.size() + 1);
+  Digest.ReachedServices_ = reachedServices(S);
   Digest.Sequence_ = ++To.DigestSequenceSent_;
   Digest.Acknowledged_ = To.DigestSequenceReceived_;
   return Digest;
@@ -314,6 +316,7 @@
         std::max(S_.Membership_.PeakClusterSize_,
                  static_cast<std::size_t>(std::clamp<std::int64_t>(
                      Digest.ClusterSize_, 0, MaxStatedClusterSize)));
+    recordReachedServices(S_, Found->second, Digest.ReachedServices_);
     Found->second.DigestSequenceReceived_ = Digest.Sequence_;
     Found->second.DigestSequenceAcknowledged_ = Digest.Acknowledged_;
     const bool NewerConfig =
--- a/src/messages.h
+++ b/src/messages.h
@@ -184,6 +184,8 @@
   std::int64_t UnixMs_ = 0;
   /// Processes that the sender knows, including itself.
   std::int64_t ClusterSize_ = 1;
+  /// Services of which upstreams have answered the sender lately.
+  std::vector<std::string> ReachedServices_;
 };
 
 /// Load at one upstream.
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -8,6 +8,7 @@
 #include "claims.h"
 #include "diagnostics.h"
 #include "dispatch.h"
+#include "relay.h"
 #include "release.h"
 #include "resume.h"
 #include "routed.h"
@@ -144,6 +145,7 @@
     return;
   }
   if (A.FirstTokenAt_ == 0) {
+    recordContact(S, A);
     A.FirstTokenAt_ = S.Now_;
     Upstream &U = S.Upstreams_[A.Upstream_];
     const double FirstTokenMs = static_cast<double>(S.Now_ - A.StartedAt_);
@@ -180,6 +182,7 @@
   if (!Removed)
     return;
   recordAttemptSuccess(S, Removed->Attempt_.Upstream_);
+  recordContact(S, Removed->Attempt_);
   Upstream &U = S.Upstreams_[Removed->Attempt_.Upstream_];
   const double DurationMs =
       static_cast<double>(S.Now_ - Removed->Attempt_.StartedAt_);
@@ -209,6 +212,7 @@
   Call &C = *Removed->Call_;
   incrementCounter(S, "attempts_failed");
   recordAttemptFailure(S, A.Upstream_, E.Failure_);
+  recordNoContact(S, A, E.Failure_, Out);
   if (E.Failure_ == AttemptFailure::NotSent ||
       E.Failure_ == AttemptFailure::Refused ||
       E.Failure_ == AttemptFailure::Misdirected)
@@ -267,6 +271,7 @@
   if (!Removed)
     return;
   recordAttemptSuccess(S, Removed->Attempt_.Upstream_);
+  recordContact(S, Removed->Attempt_);
   Call &C = *Removed->Call_;
   // An upstream may fail a request before it runs it.
   if (E.Status_ < FirstServerError) {
--- a/src/peerstate.h
+++ b/src/peerstate.h
@@ -29,6 +29,8 @@
   Millis UsageReceivedAt_ = -1; ///< When it last sent its usage counts.
   /// Not eligible as aggregator until then, because its summaries stopped.
   Millis SuspectUntil_ = 0;
+  /// When it last stated that it reaches a service, by service.
+  std::map<std::string, Millis> ReachedAt_;
 };
 
 /// What a store reader has published, received directly or through others.
--- a/src/routed.cpp
+++ b/src/routed.cpp
@@ -7,6 +7,7 @@
 #include "dispatch.h"
 #include "fleet.h"
 #include "quota.h"
+#include "relay.h"
 #include "router.h"
 #include "suspects.h"
 #include "upstreams.h"
@@ -164,6 +165,21 @@
              Out);
 }
 
+/// Passes a call that a peer has not run to another one, or refuses it.
+void retryRelayedCall(State &S, Call &C, const AttemptFailed &E, Effects &Out) {
+  if (canRelay(S, C) ||
+      (!isCutOff(S, C.ServiceQueue_) && hasUsableUpstream(S, C, ""))) {
+    requeueCall(S, C);
+    return;
+  }
+  const RunState Run = runStateOf(S, C);
+  refuseCall(S, C,
+             {Run == RunState::NotRun ? ErrorKind::NoUpstream
+                                      : ErrorKind::UpstreamFailed,
+              Run, "no peer could serve it: " + E.Detail_, retryAfter(S, C)},
+             Out);
+}
+
 /// Charges a retry of a call that may have run to the budget.
 /// @return true if the call may run again at another upstream and the budget
 ///   was not exhausted
@@ -190,7 +206,11 @@
     return configurationLookupError(S, ErrorKind::UnknownRoute,
                                     "no such route");
   const Account *CallerAccount = nullptr;
-  if (!Route->Public_ && !S.Config_.Configuration_.AccountsByName_.empty()) {
+  if (C.Request_.Relayed_) {
+    C.Account_ = C.Request_.Relayed_->Account_;
+    C.UsageCounted_ = true; // By the peer that has passed it on.
+  } else if (!Route->Public_ &&
+             !S.Config_.Configuration_.AccountsByName_.empty()) {
     const auto Found =
         S.Config_.Configuration_.AccountsByKey_.find(C.Request_.ApiKey_);
     if (Found == S.Config_.Configuration_.AccountsByKey_.end())
@@ -200,14 +220,18 @@
     C.Account_ = CallerAccount->Name_;
   }
   fillFromRoute(S, C, *Route);
+  if (C.Request_.Relayed_)
+    C.MaxUpstreams_ =
+        std::min(C.MaxUpstreams_, C.Request_.Relayed_->MaxUpstreams_);
   if (auto Error = checkBlocked(S, C))
     return Error;
-  countWork(S, C);
+  if (!C.Request_.Relayed_)
+    countWork(S, C);
   if (isStopTooNear(S, C))
     return CallError{ErrorKind::Draining, RunState::NotRun,
                      "this process ends before the answer could be whole",
                      DrainingRetryAfter};
-  if (!hasUsableUpstream(S, C, ""))
+  if (!hasUsableUpstream(S, C, "") && !canRelay(S, C))
     return CallError{
         ErrorKind::NoUpstream, RunState::NotRun,
         fmt::format("no upstream serves {}", C.ServiceQueue_),
@@ -291,7 +315,15 @@
   // run, so the call counts as usage.
   if (!IsNotRun)
     countStartedCall(S, C);
-  if (IsNotRun)
+  if (E.Failure_ == AttemptFailure::NotSent)
+    ++C.NotSentCount_;
+  const bool WasRelayed = S.Upstreams_[A.Upstream_].IsPeer_;
+  // The peer may have used all upstreams at which the call may run.
+  if (WasRelayed && !IsNotRun)
+    C.UncertainAttempts_ = std::max(C.UncertainAttempts_, C.MaxUpstreams_);
+  if (IsNotRun && WasRelayed)
+    retryRelayedCall(S, C, E, Out);
+  else if (IsNotRun)
     retryNotRunCall(S, C, E, Out);
   else if (consumeRetryIfRepeatable(S, C))
     requeueCall(S, C);
--- a/src/settings.h
+++ b/src/settings.h
@@ -81,6 +81,9 @@
   SocketAddress CallerListen_;
   SocketAddress OperatorListen_;
   SocketAddress PeerListen_;
+  /// Address for requests that peers pass on; port 0: none is taken or passed
+  /// on.
+  SocketAddress RelayListen_;
   std::vector<PeerSettings> Peers_;
   std::string LogUrl_;
   std::string HostListUrl_;
--- a/src/state.h
+++ b/src/state.h
@@ -24,6 +24,8 @@
 /// One incarnation of an upstream host.
 struct Upstream {
   HostRow Row_; ///< Latest host list entry.
+  /// It stands for a peer to which requests are passed, and is never listed.
+  bool IsPeer_ = false;
   /// The host gets no new work. Never cleared: a new incarnation of the host is
   /// a new upstream.
   bool Leaving_ = false;
@@ -45,10 +47,11 @@
   double AttemptMs_ = 300;
   /// Adaptive limit on this process's attempts in flight.
   double ConcurrencyLimit_ = 16;
-  int ConsecutiveFailures_ = 0;  ///< Failures since the last success.
-  Millis AvoidUntil_ = 0;        ///< End of the backoff after a failure.
-  Millis PausedUntil_ = 0;       ///< End of the pause that the upstream wants.
-  Millis ProbedAt_ = 0;          ///< Start of the last probe; 0: none yet.
+  int ConsecutiveFailures_ = 0; ///< Failures since the last success.
+  Millis AvoidUntil_ = 0;       ///< End of the backoff after a failure.
+  Millis NotSentAt_ = -1;  ///< Last attempt that found no connection; -1: none.
+  Millis PausedUntil_ = 0; ///< End of the pause that the upstream wants.
+  Millis ProbedAt_ = 0;    ///< Start of the last probe; 0: none yet.
   int InFlightAtProbe_ = 0;      ///< `InFlight_` at the last probe's start.
   bool Probing_ = false;         ///< A probe is in progress.
   Millis LoadCommandSentAt_ = 0; ///< Time of the last load command; 0: none.
@@ -188,6 +191,8 @@
   std::string TrialOwner_;     ///< Process that was asked for the trial.
   Millis TrialAskedAt_ = 0;    ///< When it was asked.
   int TrialRequests_ = 0;      ///< How often processes were asked.
+  int NotSentCount_ = 0;       ///< Attempts that found no connection.
+  int RelayCount_ = 0;         ///< Peers to which it was passed.
   /// Status of the first upstream's answer, until the stream's head is sent.
   int AnswerStatus_ = 0;
   /// Headers of the first upstream's answer, until the stream's head is sent.
@@ -507,6 +512,16 @@
   std::map<std::string, std::set<std::string>> ServedVersions_;
 };
 
+// --- Reaching the upstreams ---
+
+/// How this process reaches the upstreams of one service.
+struct ServiceLink {
+  Millis AnsweredAt_ = 0; ///< Last answer of any of them; 0: none yet.
+  /// Those that have left attempts unanswered since, as indices.
+  std::set<int> Unanswered_;
+  Millis TriedAt_ = 0; ///< When a call was last placed here while cut off.
+};
+
 // --- Hosts of services ---
 
 /// Work that a service's requests need, in ms of host time per second.
@@ -628,6 +643,7 @@
   FleetState Fleet_;
   UsageState Usage_;
   SuspicionState Suspicion_;
+  std::map<std::string, ServiceLink> ServiceLinks_; ///< By service.
   LogState Log_;
   OperatorLogState OperatorLog_;
   ConfigState Config_;
--- a/src/summaries.cpp
+++ b/src/summaries.cpp
@@ -49,7 +49,7 @@
   SummaryBuilder(const State &S, SummaryScope Scope) {
     Message_.Scope_ = Scope;
     for (const Upstream &U : S.Upstreams_)
-      if (U.InFlight_ > 0)
+      if (U.InFlight_ > 0 && !U.IsPeer_)
         Loads_[upstreamHash(U)] = {upstreamHash(U), U.InFlight_,
                                    static_cast<int>(U.PrefillMs_)};
     for (const auto &[Service, W] : S.Fleet_.Work_)
--- a/src/suspects.cpp
+++ b/src/suspects.cpp
@@ -598,7 +598,9 @@
 
 bool recordBreak(State &S, Call &C, const Attempt &A, AttemptFailure Failure,
                  Effects &Out) {
-  if (Failure != AttemptFailure::ConnectionBroken)
+  // A peer to which the request was passed judges what it sees itself.
+  if (Failure != AttemptFailure::ConnectionBroken ||
+      S.Upstreams_[A.Upstream_].IsPeer_)
     return false;
   const bool Begun = A.FirstTokenAt_ != 0;
   C.BrokenBeforeAnswer_ = C.BrokenBeforeAnswer_ || !Begun;
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -310,9 +310,10 @@
   if (Found == S.Attempts_.end())
     return;
   Upstream &U = S.Upstreams_[Found->second.Upstream_];
-  if (E.Leaving_)
+  if (E.Leaving_ && !U.IsPeer_)
     markLeaving(S, U.Row_.Host_, "answer", Out);
-  recordNamedLimit(S, Found->second, E.Limit_, Out);
+  if (!U.IsPeer_)
+    recordNamedLimit(S, Found->second, E.Limit_, Out);
   if (E.Pause_ <= 0)
     return;
   U.PausedUntil_ = std::max(U.PausedUntil_, S.Now_ + E.Pause_);
@@ -345,6 +346,10 @@
     U.AvoidUntil_ = S.Now_ + MaxFailureBackoff;
     break;
   case AttemptFailure::NotSent:
+    U.NotSentAt_ = S.Now_;
+    ++U.ConsecutiveFailures_;
+    startFailureBackoff(S, U);
+    break;
   case AttemptFailure::ProtocolError:
   case AttemptFailure::UpstreamError:
     ++U.ConsecutiveFailures_;
--- a/tests/cut_off_test.cpp
+++ b/tests/cut_off_test.cpp
@@ -119,6 +119,11 @@
   expectServedBehindCut(1, PlatformGroup::DataCentreCount);
 }
 
+TEST_P(CutOffTest, dataCentre_onlyKeptConnectionsLiveOn_itsCallersAreServed) {
+  Engines_->KeptFraction_ = 0.3;
+  expectServedBehindCut(1, PlatformGroup::DataCentreCount);
+}
+
 TEST_P(CutOffTest, allButOne_reachNoUpstream_bookingsRunOnce) {
   for (int I = 1; I < Group_->size(); ++I)
     Engines_->CutProcesses_.insert(I);
--- a/tests/platform_processes_test.cpp
+++ b/tests/platform_processes_test.cpp
@@ -136,6 +136,36 @@
       2000));
 }
 
+TEST_F(PlatformProcessTest, relayedRequest_onThePeersPort_runsForItsAccount) {
+  const auto Relay = [&](const std::string &Path, const std::string &Id) {
+    std::vector<std::string> Headers = requestHeaders(Id, "none");
+    Headers.insert(Headers.end(),
+                   {"Relay-Origin: entry-9", "Relay-Account: sales",
+                    "Relay-Upstreams: 1"});
+    return sendHttpRequest(
+        "GET",
+        fmt::format("http://127.0.0.1:{}{}", EntryPorts_[1].RelayPort_, Path),
+        "", Headers);
+  };
+  EXPECT_EQ(Relay("/check/7", "rl1").Body_, "whole answer to rl1");
+  EXPECT_EQ(Relay("/stream/1", "rl2").Body_, completeStream());
+  EXPECT_EQ(executionCount("rl2"), 1);
+  Json Seen;
+  for (int I = 0; I < 2; ++I)
+    if (fetchServerState(I)["seen"].contains("rl1"))
+      Seen = fetchServerState(I)["seen"]["rl1"];
+  EXPECT_EQ(Seen["tenant"], "sales");
+  EXPECT_EQ(Relay("/no/such/route", "rl3").Status_, 503);
+}
+
+TEST_F(PlatformProcessTest, relayHeaders_ofACaller_countForNothing) {
+  std::vector<std::string> Headers = requestHeaders("rl4", "none");
+  Headers.emplace_back("Relay-Account: sales");
+  EXPECT_EQ(
+      sendHttpRequest("GET", callerUrl(1, "/check/7"), "", Headers).Status_,
+      401);
+}
+
 TEST_F(PlatformProcessTest, store_backFromACopy_configurationAndHostsApply) {
   const auto SendStoreControl = [&](const Json &Body) {
     ASSERT_EQ(sendControl(StorePort_, Body).Status_, 200);
--- a/tests/platformcluster.cpp
+++ b/tests/platformcluster.cpp
@@ -40,7 +40,7 @@
       ServerRelays_.push_back(std::make_unique<Relay>(ServerPorts_.back()));
   }
   for (int I = 0; I < Options.EntryCount_; ++I) {
-    EntryPorts_.push_back({freePort(), freePort(), freePort()});
+    EntryPorts_.push_back({freePort(), freePort(), freePort(), freePort()});
     if (Options.UseRelays_)
       StoreRelays_.push_back(std::make_unique<Relay>(StorePort_));
   }
@@ -74,13 +74,14 @@
   std::ofstream(File) << fmt::format(
       "[entry]\nname = entry-{0}\ndata_centre = z{0}\nzone = z{0}\n"
       "listen = {1}\noperator_listen = {2}\npeer_listen = {3}\n"
+      "relay_listen = {6}\n"
       "[platform]\nstore = http://{4}\ncloud = http://{5}\n"
       "[limits]\ndrain = 5s\nstop_margin = 500ms\nunready = 500ms\n"
       "lease = 1500ms\n",
       I, loopbackAddress(EntryPorts_[I].CallerPort_),
       loopbackAddress(EntryPorts_[I].OperatorPort_),
       loopbackAddress(EntryPorts_[I].PeerPort_), loopbackAddress(StorePort),
-      loopbackAddress(CloudPort_));
+      loopbackAddress(CloudPort_), loopbackAddress(EntryPorts_[I].RelayPort_));
   Children_[fmt::format("entry-{}", I)] = std::make_unique<ChildProcess>(
       std::vector<std::string>{std::string(BINARY_DIR) + "/endivewharf",
                                "serve", "--settings=" + File},
--- a/tests/platformcluster.h
+++ b/tests/platformcluster.h
@@ -12,6 +12,7 @@
   int CallerPort_ = 0;
   int OperatorPort_ = 0;
   int PeerPort_ = 0;
+  int RelayPort_ = 0; ///< For requests that other processes pass on.
 };
 
 /// Size and properties of a cluster.
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -42,6 +42,7 @@
   ProcessSettings.DataCentre_ = ProcessSettings.Zone_ =
       std::string(1, static_cast<char>('a' + I % DataCentreCount));
   ProcessSettings.PeerListen_ = {"10.0.0." + std::to_string(I), 7000};
+  ProcessSettings.RelayListen_ = {"10.0.0." + std::to_string(I), RelayPort};
   ProcessSettings.StoreUrl_ = "http://10.9.9.9:1";
   ProcessSettings.CloudUrl_ = "http://10.9.9.8:1";
   ProcessSettings.Limits_.DrainTimeout_ = 8000;
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -22,6 +22,7 @@
   /// Delay of a message from one process to another, in ms.
   static constexpr Millis MessageDelay = 50;
   static constexpr int DataCentreCount = 5;
+  static constexpr int RelayPort = 7001;
 
   /// @param Size number of processes, assigned to the data centres in turn;
   /// they start at random times within 300 ms
--- a/tests/simulatedengines.cpp
+++ b/tests/simulatedengines.cpp
@@ -64,6 +64,7 @@
                              PromptOutcome Outcome) {
   const int Index = static_cast<int>(Outcomes_.size());
   OutcomeByRequest_[R.RequestId_] = Index;
+  Requests_[R.RequestId_] = R;
   Outcomes_.push_back(std::move(Outcome));
   const CallId Call = Group_.submitRequest(Process, R);
   if (Call == 0) {
@@ -94,6 +95,10 @@
   if (Known == OutcomeByRequest_.end())
     return false;
   const AttemptKey Key{Process, Start.Attempt_};
+  if (Start.Relay_) {
+    relay(Process, Start);
+    return true;
+  }
   const auto Found = EngineByName_.find(Start.Host_);
   if (Found == EngineByName_.end() || !Engines_[Found->second].Running_) {
     Group_.scheduleEvent(PlatformGroup::StepDuration, Process, [Key] {
@@ -102,8 +107,10 @@
     });
     return true;
   }
-  if (CutProcesses_.count(Process) > 0) {
-    Group_.scheduleEvent(ConnectTimeout, Process, [Key] {
+  if (CutProcesses_.count(Process) > 0 && !findsKeptConnection()) {
+    const Millis Delay =
+        KeptFraction_ > 0 ? PlatformGroup::StepDuration : ConnectTimeout;
+    Group_.scheduleEvent(Delay, Process, [Key] {
       return AttemptFailed{Key.second, AttemptFailure::NotSent, false,
                            "no answer to the connect"};
     });
@@ -132,6 +139,80 @@
   return true;
 }
 
+void SimulatedEngines::relay(int Process, const StartAttempt &Start) {
+  const AttemptKey Origin{Process, Start.Attempt_};
+  const auto Dot = Start.Address_.rfind('.');
+  const int Peer = std::stoi(Start.Address_.substr(Dot + 1));
+  CallRequest R = Requests_.at(Start.RequestId_);
+  R.TimeLimit_ = Start.TimeLeft_;
+  R.ResumeAfter_ = Start.ResumeAfter_;
+  R.Relayed_ = Start.Relay_;
+  Group_.scheduleEvent(
+      PlatformGroup::MessageDelay, Process, [this, Peer, R, Origin] {
+        const std::pair Submitted{Peer, R.RequestId_};
+        SubmittedRelays_[Submitted] = Origin;
+        const CallId Call = Group_.submitRequest(Peer, R);
+        if (SubmittedRelays_.erase(Submitted) > 0 && Call != 0)
+          Relays_[{Peer, Call}] = Origin;
+        if (Call != 0)
+          return EventBody(CallerDisconnected{0});
+        return EventBody(AttemptFailed{Origin.second, AttemptFailure::NotSent,
+                                       false, "refused"});
+      });
+}
+
+bool SimulatedEngines::onRelayEffect(int Process, const Effect &E) {
+  const auto Report = [&](const AttemptKey &Origin, EventBody Body) {
+    Group_.scheduleEvent(PlatformGroup::MessageDelay, Origin.first,
+                         [Body = std::move(Body)] { return Body; });
+  };
+  const auto Find = [&](CallId Call) { return Relays_.find({Process, Call}); };
+  if (const auto *Begun = std::get_if<StartRoutedStream>(&E)) {
+    const auto Found = Find(Begun->Call_);
+    if (Found != Relays_.end())
+      Report(Found->second, AttemptHead{Found->second.second, Begun->Status_,
+                                        Begun->Headers_});
+    return Found != Relays_.end();
+  }
+  if (const auto *Token = std::get_if<SendToken>(&E)) {
+    const auto Found = Find(Token->Call_);
+    if (Found != Relays_.end())
+      Report(Found->second,
+             AttemptToken{Found->second.second, Token->Index_, Token->Text_});
+    return Found != Relays_.end();
+  }
+  if (const auto *End = std::get_if<FinishStream>(&E)) {
+    const auto Found = Find(End->Call_);
+    if (Found != Relays_.end())
+      Report(Found->second, AttemptEnded{Found->second.second, "", 0, 0});
+    return Found != Relays_.end();
+  }
+  if (const auto *Answer = std::get_if<SendRoutedAnswer>(&E)) {
+    const auto Found = Find(Answer->Call_);
+    if (Found != Relays_.end())
+      Report(Found->second, ServiceAnswer{Found->second.second, Answer->Status_,
+                                          "", Answer->Body_, Answer->Headers_});
+    return Found != Relays_.end();
+  }
+  const auto *Error = std::get_if<SendError>(&E);
+  if (Error == nullptr)
+    return false;
+  const auto Submitted = SubmittedRelays_.find({Process, Error->RequestId_});
+  const auto Found = Find(Error->Call_);
+  if (Submitted == SubmittedRelays_.end() && Found == Relays_.end())
+    return false;
+  const AttemptKey Origin =
+      Found != Relays_.end() ? Found->second : Submitted->second;
+  const bool NotRun = Error->Error_.RunState_ == RunState::NotRun;
+  Report(Origin, AttemptFailed{Origin.second,
+                               NotRun ? AttemptFailure::Refused
+                                      : AttemptFailure::UpstreamError,
+                               false, Error->Error_.Detail_});
+  if (Submitted != SubmittedRelays_.end())
+    SubmittedRelays_.erase(Submitted);
+  return true;
+}
+
 int SimulatedEngines::runningAt(int Index) const {
   return static_cast<int>(
       std::count_if(Attempts_.begin(), Attempts_.end(), [&](const auto &Entry) {
@@ -166,7 +247,7 @@
 
 bool SimulatedEngines::isHeldUp(AttemptKey Key,
                                 void (SimulatedEngines::*Again)(AttemptKey)) {
-  if (CutProcesses_.count(Key.first) > 0)
+  if (CutProcesses_.count(Key.first) > 0 && KeptFraction_ == 0)
     return true;
   const Millis Until = Engines_[Attempts_.at(Key).Engine_].SilentUntil_;
   if (Until <= Group_.Now_)
@@ -183,6 +264,12 @@
   Group_.scheduleEvent(0, Key.first, [this, Key] { return endAnswer(Key); });
 }
 
+bool SimulatedEngines::findsKeptConnection() {
+  RandomState_ = RandomState_ * 6364136223846793005ULL + 1442695040888963407ULL;
+  return static_cast<double>((RandomState_ >> 33) % 1000) <
+         KeptFraction_ * 1000;
+}
+
 void SimulatedEngines::beginAnswer(AttemptKey Key) {
   const auto Found = Attempts_.find(Key);
   if (Found == Attempts_.end() || isHeldUp(Key, &SimulatedEngines::beginAnswer))
@@ -361,6 +448,8 @@
 }
 
 void SimulatedEngines::onEffect(int Process, const Effect &E) {
+  if (onRelayEffect(Process, E))
+    return;
   const auto RecordServed = [&](CallId Call) {
     const auto Found = OutcomeByCall_.find({Process, Call});
     if (Found == OutcomeByCall_.end())
--- a/tests/simulatedengines.h
+++ b/tests/simulatedengines.h
@@ -147,6 +147,9 @@
   /// Processes that reach no engine: connects are not answered, and what runs
   /// there falls silent.
   std::set<int> CutProcesses_;
+  /// Fraction of the attempts at a cut that find a kept connection, which lives
+  /// on; the others are refused a new one at once. 0: nothing is answered.
+  double KeptFraction_ = 0;
   std::set<std::string> DeadlyParts_;
   std::set<std::string> DeadlyPaths_;
   /// Requests for deadly paths end an engine at the end of their answer, not at
@@ -184,8 +187,14 @@
     std::map<int, Millis> FirstPassedOn_;            ///< By process.
   };
   using AttemptKey = std::pair<int, AttemptId>;
+  using CallKey = std::pair<int, CallId>;
 
   bool onAttempt(int Process, const StartAttempt &Start);
+  /// Submits a request to the peer to which a process passes it.
+  void relay(int Process, const StartAttempt &Start);
+  /// Passes what a peer does for a relayed request to its origin.
+  /// @return true if the effect was of such a request
+  bool onRelayEffect(int Process, const Effect &E);
   void onEffect(int Process, const Effect &E);
   /// Begins the answer of an attempt, or ends the engine that would.
   void beginAnswer(AttemptKey Key);
@@ -208,6 +217,7 @@
   /// @return true if it was postponed or dropped
   bool isHeldUp(AttemptKey Key, void (SimulatedEngines::*Again)(AttemptKey));
   void endAnswerLater(AttemptKey Key);
+  bool findsKeptConnection();
   void endBecauseOf(int Outcome, int Engine);
 
   PlatformGroup &Group_;
@@ -219,6 +229,11 @@
   std::map<std::string, int> OutcomeByRequest_;
   std::map<std::pair<int, CallId>, int> OutcomeByCall_;
   std::map<AttemptKey, RunningAttempt> Attempts_;
+  std::map<std::string, CallRequest> Requests_; ///< By ID.
+  /// Attempts of the origins, by the peer's call, and those that are being
+  /// submitted, by the request's ID.
+  std::map<CallKey, AttemptKey> Relays_;
+  std::map<std::pair<int, std::string>, AttemptKey> SubmittedRelays_;
   std::vector<Arrival> Arrivals_;
   std::map<std::pair<int, int>, NamedLimits> Limits_; ///< By engine and start.
   std::vector<Millis> Ends_;
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -196,7 +196,8 @@
   for (const char *Name :
        {"authorization", "Tenant", "Expect-Instance", "Deadline-Ms", "Hold",
         "Pin-Ms", "Kv-From", "Kv-Backup", "Connection", "Transfer-Encoding",
-        "Content-Length", "Request-Priority"})
+        "Content-Length", "Request-Priority", "Relay-Account",
+        "relay-upstreams", "Relay-Origin"})
     EXPECT_FALSE(isForwardedRequestHeader(Name)) << Name;
   for (const char *Name : {"Host", "Request-Id", "Model", "Token-Count",
                            "Prompt-Prefix", "Length-Hint", "X-Own"})
