Client: an answer that stops within its head is no answer

Reported by other operators: an upstream stopped in the middle of its answer's head and closed; callers got a 200 with an empty body, framed as whole. It could happen here: libcurl returns CURLE_OK for a connection that closes within the head, and with the upstream's mark among the lines that had come the attempt counted as answered; by reading, a refusal cut in its head was believed as not run, too.

A transfer is complete only if the empty line after the final head has come. Before: ClosedAnswerTest.answer_endsWithinItsHead_isNoAnswer fails (plain, stream, resumed stream). After: all 15 tests of the client's answers pass, with one for a refusal. The same client reads the store, the operator's calls and the hosts' orders.

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -75,7 +75,8 @@
   Millis StartedAt_ = 0;
   Millis LastByteAt_ = 0;
   bool BodyStarted_ = false;
-  bool Stopped_ = false; ///< The body sink or the head limit stopped it.
+  bool HeadComplete_ = false; ///< The empty line after the final head came.
+  bool Stopped_ = false;      ///< The body sink or the head limit stopped it.
   bool NotRun_ = false;
 };
 
@@ -284,12 +285,15 @@
       T.AnswerHeaders_.size() < MaxAnswerHeaders)
     T.AnswerHeaders_.push_back({std::string(Line.substr(0, Colon)),
                                 std::string(trimmed(Line.substr(Colon + 1)))});
-  if (!trimmed(Line).empty() || !T.OnHead_ || !T.OnDone_)
+  if (!trimmed(Line).empty())
     return Line.size();
   long Status = 0;
   curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
   if (Status < 200)
     return Line.size();
+  T.HeadComplete_ = Line.back() == '\n';
+  if (!T.OnHead_ || !T.OnDone_)
+    return Line.size();
   const HeadSink OnHead = std::move(T.OnHead_);
   // Trailers arrive in this callback as well and must not call the sink again.
   T.OnHead_ = nullptr;
@@ -349,13 +353,17 @@
       continue;
     Transfer &T = *Found->second;
     TransferEnd End = TransferEnd::ConnectionBroken;
-    if (Code == CURLE_OK)
+    // libcurl takes a connection that closes within the head for a whole
+    // answer.
+    if (Code == CURLE_OK && T.HeadComplete_)
       End = TransferEnd::Complete;
     else if (T.Stopped_)
       End = TransferEnd::Stopped;
     else if (T.SendCount_ == 0)
       End = TransferEnd::NotSent;
     std::string Detail = Code == CURLE_OK ? "" : curl_easy_strerror(Code);
+    if (Code == CURLE_OK && !T.HeadComplete_)
+      Detail = "the connection ended within the head";
     if (T.SendCount_ > 1)
       Detail = "the connection had ended without an answer";
     finishTransfer(T, End, std::move(Detail));
