Breaks from the log: a record's time is not subtracted, as it may be any number

Such a record can only come from another writer of the log. Only our own time is computed with now. Before: fuzz aborts. After: SuspectsTest 15 of 15, with a test of that time.

--- a/src/suspects.cpp
+++ b/src/suspects.cpp
@@ -625,7 +625,8 @@
 }
 
 void mergeBreaksRecord(State &S, const BreaksRecord &Record, Effects &Out) {
-  if (S.UnixMs_ - Record.UnixMs_ > SuspectExpiry)
+  // A record may state any time, so only our own is computed with.
+  if (Record.UnixMs_ < S.UnixMs_ - SuspectExpiry)
     return;
   for (const BreakRow &Row : Record.Rows_)
     mergeBreak(S, Row, Out);
--- a/tests/suspects_test.cpp
+++ b/tests/suspects_test.cpp
@@ -5,6 +5,7 @@
 #include "suspects.h"
 
 #include <fmt/format.h>
+#include <limits>
 
 namespace endivewharf {
 
@@ -218,4 +219,15 @@
   EXPECT_FALSE(isCleared(State_, keyOf("common")));
 }
 
+TEST_F(SuspectsTest, breaksRecord_ofAnImpossibleTime_isTooOldAndDoesNoHarm) {
+  BreaksRecord Record;
+  Record.Rows_.push_back({RequestName{7, "check", "sales", {}}, 5, 9, 7});
+  Record.UnixMs_ = std::numeric_limits<std::int64_t>::min();
+  mergeBreaksRecord(State_, Record, Effects_);
+  EXPECT_TRUE(State_.Suspicion_.Suspects_.empty());
+  Record.UnixMs_ = State_.UnixMs_;
+  mergeBreaksRecord(State_, Record, Effects_);
+  EXPECT_EQ(State_.Suspicion_.Suspects_.count(7), 1u);
+}
+
 } // namespace endivewharf
