--- a/review/1/case.py
+++ b/review/1/case.py
@@ -96,4 +96,4 @@
     R.finish(rig, 0, "ONE held: %d windows, each with one report" % len(counts))
 
 
-main()
+R.run(main)
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -172,4 +172,4 @@
              "twice" % len(once))
 
 
-main()
+R.run(main)
--- a/review/4/case.py
+++ b/review/4/case.py
@@ -99,4 +99,4 @@
     R.finish(rig, 0, "UNASKED held: %d requests" % len(asked))
 
 
-main()
+R.run(main)
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -97,4 +97,4 @@
     R.finish(rig, 0, "CONFIG held: %d requests" % len(sent))
 
 
-main()
+R.run(main)
--- a/review/rig.py
+++ b/review/rig.py
@@ -466,7 +466,10 @@
 class Rig:
     """A small deployment: 4 entry processes in 3 zones, as on the sheets."""
 
+    started = []
+
     def __init__(self, folder, heartbeat_s=1.2):
+        Rig.started.append(self)
         self.record = Record(folder)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.heartbeat_s = heartbeat_s
@@ -570,5 +573,21 @@
 def finish(rig, code, text):
     rig.record(text)
     rig.close()
-    print(text)
+    print(text, flush=True)
     os._exit(code)
+
+
+def run(case):
+    """Runs a case; whatever goes wrong, its processes end, and an error of the
+    case itself is 2, not 1."""
+    def stop(number, frame):
+        raise SystemExit("signal %d" % number)
+    signal.signal(signal.SIGTERM, stop)
+    signal.signal(signal.SIGINT, stop)
+    try:
+        case()
+    except BaseException as error:  # finish() does not come back
+        for rig in Rig.started:
+            rig.close()
+        print("could not run: %r" % error, flush=True)
+        os._exit(2)
