--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,7 @@
 """CONFIG: a key that was taken away goes on being accepted.
 
 A change of the configuration takes a tenant's key away and gives it a new one
-of 256 characters. No process puts that version, or a later one, into force.
+of 256 characters. No process puts that version into force.
 See claim.txt.
 """
 import os
