--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -447,6 +447,12 @@
   F("rows", R.Rows_);
 }
 
+template <SameIgnoringConst<UsageFloorRecord> T, typename V>
+void visitFields(T &R, V &&F) {
+  F("era", R.Era_);
+  F("window", R.Window_);
+}
+
 template <SameIgnoringConst<WorkRecord> T, typename V>
 void visitFields(T &R, V &&F) {
   F("unix_ms", R.UnixMs_);
@@ -603,10 +609,10 @@
     "sums",     "usage",        "hosts_request", "hosts",
     "quota",    "part_trial"};
 constexpr std::array RecordNames = {
-    "config",       "note",     "lease_acquire", "lease_renew",
-    "share",        "verdict",  "claim",         "claim_release",
-    "claim_done",   "snapshot", "join",          "usage",
-    "usage_counts", "work",     "blocked_parts", "breaks"};
+    "config",  "note",       "lease_acquire", "lease_renew", "share",
+    "verdict", "claim",      "claim_release", "claim_done",  "snapshot",
+    "join",    "usage",      "usage_counts",  "work",        "blocked_parts",
+    "breaks",  "usage_floor"};
 static_assert(MessageNames.size() == std::variant_size_v<PeerMessage>);
 static_assert(RecordNames.size() == std::variant_size_v<LogRecord>);
 
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -153,6 +153,9 @@
     applyDecidedUsage(S_, R, Out_);
   }
   void operator()(const UsageCountsRecord &R) const { applyUsageCounts(S_, R); }
+  void operator()(const UsageFloorRecord &R) const {
+    applyUsageFloor(S_, R, Out_);
+  }
   void operator()(const WorkRecord &R) const { applyWorkRecord(S_, R); }
 
 private:
@@ -194,7 +197,8 @@
          std::holds_alternative<BlockRecord>(Record) ||
          std::holds_alternative<BreaksRecord>(Record) ||
          std::holds_alternative<JoinRecord>(Record) ||
-         std::holds_alternative<UsageRecord>(Record);
+         std::holds_alternative<UsageRecord>(Record) ||
+         std::holds_alternative<UsageFloorRecord>(Record);
 }
 
 /// The platform's log may keep only the newest record of each key, so an
@@ -205,7 +209,8 @@
   return S.Settings_.servesPlatform() &&
          (std::holds_alternative<LeaseAcquireRecord>(Record) ||
           std::holds_alternative<LeaseRenewRecord>(Record) ||
-          std::holds_alternative<UsageRecord>(Record));
+          std::holds_alternative<UsageRecord>(Record) ||
+          std::holds_alternative<UsageFloorRecord>(Record));
 }
 
 /// @return true if records read since then make a queued record obsolete
@@ -213,6 +218,8 @@
   const LeaseState &L = S.Lease_;
   if (const auto *Usage = std::get_if<UsageRecord>(&Record))
     return isDecidedOtherwise(S, *Usage);
+  if (const auto *Floor = std::get_if<UsageFloorRecord>(&Record))
+    return isUsageFloorSuperseded(S, *Floor);
   if (const auto *Acquire = std::get_if<LeaseAcquireRecord>(&Record))
     return Acquire->PreviousOffset_ != L.LastRecordOffset_;
   if (const auto *Renew = std::get_if<LeaseRenewRecord>(&Record))
@@ -225,7 +232,8 @@
   std::erase_if(S.Log_.Outbox_, [&](const LogRecord &R) {
     if (!needsConditionalAppend(S, R) || !isSuperseded(S, R))
       return false;
-    if (!std::holds_alternative<UsageRecord>(R))
+    if (std::holds_alternative<LeaseAcquireRecord>(R) ||
+        std::holds_alternative<LeaseRenewRecord>(R))
       S.Lease_.Nonce_ = 0;
     return true;
   });
@@ -283,6 +291,10 @@
   const bool NewEra = S.Log_.NextOffset_ != 0 &&
                       eraOf(E.NextOffset_) > eraOf(S.Log_.NextOffset_);
   recordEra(S, E.NextOffset_, Out);
+  const std::optional<std::int64_t> KnownFloor =
+      NewEra ? usageFloorKnownAcrossEras(S) : std::nullopt;
+  if (NewEra || S.Log_.EraKnownSince_ < 0)
+    S.Log_.EraKnownSince_ = S.Now_;
   if (NewEra)
     beginLogEra(S, Out);
   for (const LogEntry &Entry : E.Entries_)
@@ -291,6 +303,9 @@
   S.Log_.NextOffset_ = std::max(S.Log_.NextOffset_, E.NextOffset_);
   if (NewEra)
     writeMissingRecords(S, E.Entries_);
+  // After the decisions that the log lacks, so that it holds for what is left.
+  if (KnownFloor)
+    queueLogRecord(S, UsageFloorRecord{eraOf(E.NextOffset_), *KnownFloor});
   if (E.AtTail_) {
     S.Log_.ReachedTail_ = true;
     S.Log_.TailReadStartedAt_ = S.Log_.ReadStartedAt_;
--- a/src/lease.cpp
+++ b/src/lease.cpp
@@ -125,6 +125,14 @@
   return S.Lease_.Holder_ == S.Self_ && S.Now_ < S.Lease_.HeldUntil_;
 }
 
+bool isLastHolder(const State &S) {
+  const LeaseState &Lease = S.Lease_;
+  if (Lease.Holder_ != S.Self_ || Lease.Released_ || Lease.HeldUntil_ == 0)
+    return false;
+  const Millis SentAt = Lease.HeldUntil_ - holderLeaseTime(Lease.Duration_);
+  return S.Now_ - SentAt < challengerWaitTime(Lease.Duration_);
+}
+
 void applyLeaseAcquire(State &S, LogOffset Offset, const LeaseAcquireRecord &R,
                        Effects &Out) {
   if (isOfEndedEra(S, Offset, R.Era_)) {
--- a/src/lease.h
+++ b/src/lease.h
@@ -10,6 +10,10 @@
 /// @return true if this process may act as the lease holder now
 bool holdsLease(const State &S);
 
+/// @return true if this process was the last holder of the lease and no other
+///   process can have acquired it until now
+bool isLastHolder(const State &S);
+
 /// Applies an acquire record. It is ignored if it does not name the last lease
 /// record before it; on the platform the conditional append has checked that.
 /// @param Offset the record's offset, which becomes the lease's epoch
--- a/src/messages.h
+++ b/src/messages.h
@@ -570,12 +570,19 @@
   std::vector<BreakRow> Rows_;
 };
 
+/// States that no window from `Window_` on was decided in an earlier era of the
+/// log without its decision being in the log now. The smallest of an era holds.
+struct UsageFloorRecord {
+  std::int64_t Era_ = 0;
+  std::int64_t Window_ = 0;
+};
+
 using LogRecord =
     std::variant<ConfigRecord, ReleaseNoteRecord, LeaseAcquireRecord,
                  LeaseRenewRecord, ShareRecord, VerdictRecord, ClaimRecord,
                  ClaimReleaseRecord, ClaimDoneRecord, SnapshotRecord,
                  JoinRecord, UsageRecord, UsageCountsRecord, WorkRecord,
-                 BlockRecord, BreaksRecord>;
+                 BlockRecord, BreaksRecord, UsageFloorRecord>;
 
 /// A record with its offset; empty if it could not be decoded.
 struct LogEntry {
--- a/src/state.h
+++ b/src/state.h
@@ -260,6 +260,8 @@
   LogOffset NextOffset_ = 0; ///< Offset to read next.
   bool Reading_ = false;
   Millis ReadStartedAt_ = 0;
+  /// When this process first knew of the log's present era; -1: not yet.
+  Millis EraKnownSince_ = -1;
   /// Start of the last read that reached the tail; -1: none yet.
   Millis TailReadStartedAt_ = -1;
   bool Available_ = false; ///< The last read succeeded.
@@ -455,6 +457,11 @@
   /// First window that this incarnation counts; earlier ones are known only
   /// from others.
   std::int64_t FirstWindow_ = 0;
+  /// Smallest window of the newest era's UsageFloorRecords, and that era; -1:
+  /// no such record was read.
+  std::int64_t Floor_ = 0;
+  std::int64_t FloorEra_ = -1;
+  Millis FloorSentAt_ = 0; ///< When this process last wrote one; 0: never.
   /// Rows of each usage record that this process has written, by window. A
   /// retry writes the same rows.
   std::map<std::int64_t, std::vector<UsageRow>> ProposedRows_;
--- a/src/usage.cpp
+++ b/src/usage.cpp
@@ -118,6 +118,33 @@
          S.Usage_.OthersCounts_.count(Window) > 0;
 }
 
+/// @return true if it is known which windows may have been decided before the
+///   log's present era, with decisions that the log may have lost
+bool isUsageFloorKnown(const State &S) {
+  return !S.Settings_.servesPlatform() ||
+         S.Usage_.FloorEra_ == eraOf(S.Log_.NextOffset_);
+}
+
+/// @return the first window that was too young to be decided when this process
+///   first knew of the log's era, by the clock of any process
+std::int64_t firstWindowOfEra(const State &S) {
+  const std::int64_t KnownSince =
+      correctedUnixMs(S) - (S.Now_ - S.Log_.EraKnownSince_);
+  return (KnownSince - MinDecisionDelay + 2 * ClockToleranceMs) /
+         S.Settings_.Bounds_.UsageWindow_;
+}
+
+/// Queues the record without which no window of the log's era is decided.
+void proposeUsageFloor(State &S) {
+  UsageState &Usage = S.Usage_;
+  if (Usage.FloorSentAt_ != 0 &&
+      S.Now_ - Usage.FloorSentAt_ <= UsageRecordRetryInterval)
+    return;
+  Usage.FloorSentAt_ = S.Now_;
+  queueLogRecord(
+      S, UsageFloorRecord{eraOf(S.Log_.NextOffset_), firstWindowOfEra(S)});
+}
+
 /// Sends the report of a decided window.
 void sendUsageReport(State &S, std::int64_t Window, Effects &Out) {
   S.Usage_.ReportingWindow_ = Window;
@@ -230,6 +257,31 @@
   return Counts != Found->second;
 }
 
+void applyUsageFloor(State &S, const UsageFloorRecord &R, Effects &Out) {
+  UsageState &Usage = S.Usage_;
+  if (isUsageFloorSuperseded(S, R))
+    return;
+  Usage.FloorEra_ = R.Era_;
+  Usage.Floor_ = R.Window_;
+  logEvent(Out, "usage_floor",
+           {{"era", std::to_string(R.Era_)},
+            {"window", std::to_string(R.Window_)},
+            {"current", std::to_string(currentUsageWindow(S))}});
+}
+
+bool isUsageFloorSuperseded(const State &S, const UsageFloorRecord &R) {
+  const UsageState &Usage = S.Usage_;
+  return R.Era_ < Usage.FloorEra_ ||
+         (R.Era_ == Usage.FloorEra_ && R.Window_ >= Usage.Floor_);
+}
+
+std::optional<std::int64_t> usageFloorKnownAcrossEras(const State &S) {
+  if (!S.Settings_.servesPlatform() || !isUsageFloorKnown(S) ||
+      !isLastHolder(S))
+    return std::nullopt;
+  return S.Usage_.Floor_;
+}
+
 void onUsageReportAnswered(State &S, const UsageReportAnswered &E,
                            Effects &Out) {
   if (S.Usage_.ReportingWindow_ == E.Window_)
@@ -261,7 +313,11 @@
   if (!Usage.PendingWindows_.empty() &&
       S.Now_ - Usage.UsageRecordSentAt_ > UsageRecordRetryInterval)
     Usage.PendingWindows_.clear();
-  for (std::int64_t Window = Oldest; Window < Current; ++Window)
+  const bool FloorKnown = isUsageFloorKnown(S);
+  if (!FloorKnown)
+    proposeUsageFloor(S);
+  for (std::int64_t Window = std::max(Oldest, Usage.Floor_);
+       FloorKnown && Window < Current; ++Window)
     if (Usage.DecidedCounts_.count(Window) == 0 &&
         Usage.PendingWindows_.count(Window) == 0 && isWindowKnown(S, Window) &&
         isReadyToDecide(S, Window) && isReportInTime(S, Window))
--- a/src/usage.h
+++ b/src/usage.h
@@ -5,6 +5,7 @@
 
 #include "state.h"
 
+#include <optional>
 #include <span>
 
 namespace endivewharf {
@@ -22,13 +23,26 @@
 
 /// In the lease holder, decides the counts of windows that are over, writes
 /// them to the log and then reports them. A later lease holder reports exactly
-/// the counts in the log. In every process, drops old windows.
+/// the counts in the log. A window that may have been decided before the log
+/// was restored from a copy is not decided again. In every process, drops old
+/// windows.
 void tickUsage(State &S, Effects &Out);
 
 /// Applies the decided counts of a window. Only the first record of a window
 /// counts.
 void applyDecidedUsage(State &S, const UsageRecord &R, Effects &Out);
 
+/// Applies a statement of which windows may be decided in an era of the log.
+void applyUsageFloor(State &S, const UsageFloorRecord &R, Effects &Out);
+
+/// @return true if what was read since makes a statement without effect
+bool isUsageFloorSuperseded(const State &S, const UsageFloorRecord &R);
+
+/// Called when the log has begun a new era, before anything of it is applied.
+/// @return the first window that may be decided in the new era, if this process
+///   knows of all decisions of the era before: only the last lease holder does
+std::optional<std::int64_t> usageFloorKnownAcrossEras(const State &S);
+
 /// @return the decided counts of a window; empty if it is not decided
 std::vector<UsageRow> decidedRows(const State &S, std::int64_t Window);
 
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -1,6 +1,7 @@
 // Tests what holds when the store comes back from a copy that is some seconds
 // old, by number of processes: beside kills, cuts and a store that refuses
 // some.
+#include "membership.h"
 #include "platformgroup.h"
 #include "release.h"
 #include "samples.h"
@@ -18,6 +19,7 @@
 constexpr Millis WarmUpTime = 14000;   // ms before the first fault
 constexpr Millis OutageTime = 2000;    // ms
 constexpr Millis CopyAge = 7000;       // ms from the copy to the outage
+constexpr Millis UsageCopyDelay = 700; // ms from a usage report to the copy
 constexpr Millis WriteAgainTime = 500; // ms until operators write again
 /// Time after the end of a window within which its usage is reported, in ms.
 constexpr Millis UsageReportTime = 10000;
@@ -101,6 +103,36 @@
     setStoreAway(false);
   }
 
+  /// Lets the store be away from just after a usage report, and brings it back
+  /// from a copy that has the report's window undecided.
+  /// @param Kill called in each step of the outage with the time since it began
+  void restoreAfterReport(const std::function<void(Millis)> &Kill) {
+    const std::size_t Before = FirstReportAt_.size();
+    while (FirstReportAt_.size() == Before)
+      run(50);
+    run(UsageCopyDelay);
+    Group_->copyStore();
+    while (FirstReportAt_.size() == Before + 1)
+      run(50);
+    run(200);
+    setStoreAway(true);
+    for (Millis Elapsed = 0; Elapsed < OutageTime; Elapsed += 50) {
+      Kill(Elapsed);
+      run(50);
+    }
+    Group_->restoreStore();
+    setStoreAway(false);
+  }
+
+  /// Expects that every window that begins from now on is reported in time,
+  /// and none with two sets of counts.
+  void expectUsageReportedOnceAfterRestore() {
+    FirstWindow_ = windowNow() + 1;
+    run(25000);
+    expectUsageReportedInTime();
+    expectSingleHolderRulesKept();
+  }
+
   int countWithConfiguration(LogOffset Version) const {
     int Count = 0;
     for (int I = 0; I < Group_->size(); ++I)
@@ -268,6 +300,48 @@
   expectSingleHolderRulesKept();
 }
 
+// Guards against a window that is reported, lost by the restored log, and
+// decided otherwise by processes that have no memory of it.
+TEST_P(RestoredStoreTest, usage_reportedThenAllKilled_isNotReportedOtherwise) {
+  restoreAfterReport([this](Millis Elapsed) {
+    for (int I = 0; Elapsed == 0 && I < Group_->size(); ++I)
+      Group_->killProcess(I, 500);
+  });
+  expectUsageReportedOnceAfterRestore();
+}
+
+// Guards against the same where processes live on that have never read the
+// decision.
+TEST_P(RestoredStoreTest,
+       usage_reportedThenReadersAndHolderKilled_isNotReportedOtherwise) {
+  restoreAfterReport([this](Millis Elapsed) {
+    const int Holder = Group_->leaseHolder();
+    for (int I = 0; Elapsed == 0 && I < Group_->size(); ++I)
+      if (I == Holder || isStoreReader(Group_->processState(I)))
+        Group_->killProcess(I, 500);
+  });
+  expectUsageReportedOnceAfterRestore();
+}
+
+// Guards against the same where no two processes are killed at one moment.
+TEST_P(RestoredStoreTest,
+       usage_reportedThenKilledOneByOne_isNotReportedOtherwise) {
+  int Next = 0;
+  restoreAfterReport([this, &Next](Millis Elapsed) {
+    while (Next < Group_->size() && Elapsed * Group_->size() >= Next * 1500)
+      Group_->killProcess(Next++, 300);
+  });
+  expectUsageReportedOnceAfterRestore();
+}
+
+TEST_P(RestoredStoreTest, usage_allKilledWithoutARestore_isReportedWhole) {
+  for (int I = 0; I < Group_->size(); ++I)
+    Group_->killProcess(I, 500);
+  run(25000);
+  expectUsageReportedInTime();
+  expectSingleHolderRulesKept();
+}
+
 TEST_P(RestoredStoreTest, host_goneBeforeTheRestore_getsNothingAgain) {
   Group_->copyStore();
   run(2000);
--- a/tests/usage_test.cpp
+++ b/tests/usage_test.cpp
@@ -119,7 +119,8 @@
   ASSERT_EQ(reportedCount(Window, "sales"), -1);
   std::vector<LogRecord> UsageRecords;
   for (const LogRecord &Record : WrittenRecords_)
-    if (std::holds_alternative<UsageCountsRecord>(Record))
+    if (std::holds_alternative<UsageCountsRecord>(Record) ||
+        std::holds_alternative<UsageFloorRecord>(Record))
       UsageRecords.push_back(Record);
   startProcess(5, UsageRecords);
   acquireLease();
