TWICE: a request returns to an upstream that answered it on a new connection

Cause: all attempts of a request have its id. A call that all upstreams refuse returns to the first, on the kept connection of the refusal; the copy that comes first there names the request and says that it was not run.

Change: the process remembers which requests were answered, other than by success, at which address until the caller's deadline, and opens a new connection when one returns there. It may be kept for others. What the head of an answer to another request says of its host is no longer taken.

Why it works: a copy can only come on a connection that carried the request; a new one never did. It holds for refusals, errors, streams and relays alike, as it goes by id and address.

Ruled out: closing the connection of each refusal (connections are dear, and only a return needs one); never returning (loses calls a moment before there is room).

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -161,10 +161,10 @@
     curl_easy_setopt(
         E, CURLOPT_MAXAGE_CONN,
         std::max(1L, static_cast<long>(T.Request_.MaxIdleTime_ / MsPerSecond)));
-  if (T.Request_.FreshConnection_) {
+  if (T.Request_.FreshConnection_ || T.Request_.NewConnection_)
     curl_easy_setopt(E, CURLOPT_FRESH_CONNECT, 1L);
+  if (T.Request_.FreshConnection_)
     curl_easy_setopt(E, CURLOPT_FORBID_REUSE, 1L);
-  }
   if (!T.Request_.Body_.empty() || T.Request_.Method_ == "POST") {
     curl_easy_setopt(E, CURLOPT_POSTFIELDSIZE,
                      static_cast<long>(T.Request_.Body_.size()));
--- a/src/client.h
+++ b/src/client.h
@@ -32,6 +32,8 @@
   Millis MaxIdleTime_ = 0;
   /// Neither reuse a connection nor keep this one for reuse.
   bool FreshConnection_ = false;
+  /// Do not reuse a connection; this one may be kept for reuse.
+  bool NewConnection_ = false;
   /// Monotonic time from which the request is no longer written, even if this
   /// process was suspended in between; 0: none.
   Millis SendDeadline_ = 0;
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -3,8 +3,10 @@
 // neither length nor chunks and end with their connection.
 #include "platform/upstream.h"
 
+#include <algorithm>
 #include <asio/read_until.hpp>
 #include <asio/write.hpp>
+#include <atomic>
 #include <gtest/gtest.h>
 #include <thread>
 
@@ -99,6 +101,84 @@
   std::thread Thread_;
 };
 
+/// Turns the first request away and answers all others. On the connection of
+/// the refusal it writes the refusal once more before its next answer.
+class RefusingServer {
+public:
+  /// @param Refusal status line and headers of the refusal, without its id
+  /// @param Copies whether it writes the refusal once more
+  explicit RefusingServer(std::string Refusal, bool Copies = true)
+      : Refusal_(std::move(Refusal)), Copies_(Copies),
+        Acceptor_(Io_, {asio::ip::make_address_v4("127.0.0.1"), 0}) {
+    accept();
+    Thread_ = std::thread([this] { Io_.run(); });
+  }
+  ~RefusingServer() {
+    Io_.stop();
+    Thread_.join();
+  }
+
+  std::string url() const {
+    return "http://127.0.0.1:" +
+           std::to_string(Acceptor_.local_endpoint().port());
+  }
+  int connections() const { return Connections_; }
+
+private:
+  struct Connection {
+    asio::ip::tcp::socket Socket_;
+    std::string Head_;
+    std::string LateCopy_;
+  };
+
+  void accept() {
+    Acceptor_.async_accept([this](const asio::error_code &Error,
+                                  asio::ip::tcp::socket Socket) {
+      if (Error)
+        return;
+      ++Connections_;
+      readRequest(
+          std::make_shared<Connection>(Connection{std::move(Socket), "", ""}));
+      accept();
+    });
+  }
+
+  void readRequest(const std::shared_ptr<Connection> &C) {
+    asio::async_read_until(
+        C->Socket_, asio::dynamic_buffer(C->Head_), "\r\n\r\n",
+        [this, C](const asio::error_code &Error, std::size_t) {
+          if (Error)
+            return;
+          const std::string Name = "Request-Id: ";
+          const auto Begin = C->Head_.find(Name);
+          const std::string Id =
+              C->Head_.substr(Begin, C->Head_.find('\n', Begin) + 1 - Begin);
+          C->Head_.clear();
+          std::string Answer = std::exchange(C->LateCopy_, "");
+          if (!std::exchange(Refused_, true)) {
+            const std::string First =
+                Refusal_ + Id + "Content-Length: 0\r\n\r\n";
+            Answer += First;
+            C->LateCopy_ = Copies_ ? First : "";
+          } else {
+            Answer += "HTTP/1.1 200 OK\r\nServer-Seal: s\r\n" + Id +
+                      "Content-Length: 3\r\n\r\nran";
+          }
+          asio::error_code Ignored;
+          asio::write(C->Socket_, asio::buffer(Answer), Ignored);
+          readRequest(C);
+        });
+  }
+
+  std::string Refusal_;
+  bool Copies_;
+  bool Refused_ = false;
+  std::atomic<int> Connections_ = 0;
+  asio::io_context Io_{1};
+  asio::ip::tcp::acceptor Acceptor_;
+  std::thread Thread_;
+};
+
 /// Sends the same bytes to each request and closes the connection.
 class ClosingServer {
 public:
@@ -190,6 +270,50 @@
   asio::io_context Io_{1};
 };
 
+/// Attempts at a server that writes a refusal a second time, late.
+class LateRefusalTest : public ::testing::Test {
+protected:
+  /// Sends requests with these ids one after the other.
+  /// @return the events of all attempts; the attempts count from 1
+  std::vector<EventBody> sendRequests(const RefusingServer &Server,
+                                      const std::vector<std::string> &Ids) {
+    std::vector<EventBody> Events;
+    HttpClient Client(Io_);
+    UpstreamClient Upstreams(
+        Client, [&](EventBody E) { Events.push_back(std::move(E)); }, 1 << 20);
+    for (std::size_t I = 0; I < Ids.size(); ++I) {
+      StartAttempt Start;
+      Start.Attempt_ = I + 1;
+      Start.Kind_ = CallKind::Routed;
+      Start.Address_ = Server.url();
+      Start.RequestId_ = Ids[I];
+      Start.Headers_ = {{"Request-Id", Ids[I]}};
+      Start.Method_ = "POST";
+      Start.Path_ = "/";
+      Start.TimeLeft_ = 1000;
+      Start.MaxIdleTime_ = 4000;
+      Upstreams.start(Start);
+      Io_.restart();
+      Io_.run_for(RequestInterval);
+    }
+    return Events;
+  }
+
+  static bool isAnswered(const std::vector<EventBody> &Events,
+                         AttemptId Attempt) {
+    return std::any_of(Events.begin(), Events.end(), [&](const EventBody &E) {
+      const auto *Answer = std::get_if<ServiceAnswer>(&E);
+      return Answer != nullptr && Answer->Attempt_ == Attempt &&
+             Answer->Body_ == "ran";
+    });
+  }
+
+  static constexpr const char *Busy =
+      "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nServer-Leaving: 1\r\n";
+
+  asio::io_context Io_{1};
+};
+
 class LateCopyTest : public ::testing::TestWithParam<bool> {
 protected:
   /// Sends requests one after the other.
@@ -303,6 +427,53 @@
   EXPECT_EQ(std::get<ServiceAnswer>(Last).Status_, 500);
 }
 
+// Guards against a late copy of a refusal that is taken for the answer to the
+// next attempt of the same request, which runs: it would run twice.
+TEST_F(LateRefusalTest, request_returnsToItsRefuser_getsItsOwnAnswer) {
+  RefusingServer Server(Busy);
+  EXPECT_TRUE(isAnswered(sendRequests(Server, {"r1", "r1"}), 2));
+}
+
+// Guards against the same with another request in between, and with a copy of
+// an error.
+TEST_F(LateRefusalTest, request_returnsAfterOthers_getsItsOwnAnswer) {
+  for (const char *First : {Busy, "HTTP/1.1 421 Other\r\n",
+                            "HTTP/1.1 500 Broken\r\nServer-Seal: s\r\n"}) {
+    RefusingServer Server(First);
+    const auto Events = sendRequests(Server, {"r1", "r1", "r2", "r1"});
+    EXPECT_TRUE(isAnswered(Events, 2)) << First;
+    EXPECT_TRUE(isAnswered(Events, 4)) << First;
+    EXPECT_LE(Server.connections(), 3) << First;
+  }
+}
+
+// Guards against a host that counts as leaving by the word of a late copy.
+TEST_F(LateRefusalTest, copy_readByAnotherRequest_saysNothingOfTheHost) {
+  RefusingServer Server(Busy);
+  for (const EventBody &E : sendRequests(Server, {"r1", "r2"})) {
+    const auto *Notice = std::get_if<UpstreamNotice>(&E);
+    EXPECT_TRUE(Notice == nullptr || Notice->Attempt_ == 1);
+  }
+}
+
+TEST_F(LateRefusalTest, requests_ofDifferentIds_shareTheConnection) {
+  RefusingServer Server(Busy, false);
+  const auto Events = sendRequests(Server, {"r1", "r2", "r3", "r4"});
+  for (const AttemptId Attempt : {2, 3, 4})
+    EXPECT_TRUE(isAnswered(Events, Attempt)) << Attempt;
+  EXPECT_EQ(Server.connections(), 1);
+}
+
+TEST(AnsweredRequestsTest, request_pastItsTime_isForgotten) {
+  AnsweredRequests Known;
+  Known.add("r1", "a:1", 1000);
+  EXPECT_TRUE(Known.contains("r1", "a:1", 999));
+  EXPECT_FALSE(Known.contains("r1", "a:2", 999));
+  EXPECT_FALSE(Known.contains("r2", "a:1", 999));
+  EXPECT_FALSE(Known.contains("r1", "a:1", 1000));
+  EXPECT_EQ(Known.size(), 0U);
+}
+
 TEST_P(LateCopyTest, nextRequest_onTheConnection_neverGetsTheCopy) {
   int CompleteAnswers = 0;
   for (const EventBody &Body : sendRequests(6)) {
