CONFIG: lines are read whole, and one entry does not keep a version out

Cause: configurations pass through INI text, and inih splits a line at 199 bytes; the rest is no entry, and one section with an error kept the whole version out.

Why it works: no length is cut or split any more, and what a version withdraws depends on no other entry of it.

Ruled out: the version order, the store's answers (the log says config_rejected with the line's rest as the reason).

--- a/src/config.cpp
+++ b/src/config.cpp
@@ -41,8 +41,9 @@
 public:
   explicit ConfigurationReader(std::string_view File) : Errors_(File) {}
 
-  /// Adds one section to the configuration.
+  /// Adds one section to the configuration, unless it has an error.
   void readSection(const IniSection &Section) {
+    ErrorsBefore_ = Errors_.size();
     if (Section.Kind_ == "account")
       readAccount(Section);
     else if (Section.Kind_ == "model")
@@ -60,20 +61,20 @@
   }
 
   /// Sorts the routes and completes the configuration. May be called once.
-  /// @return the configuration, or every error found
-  tl::expected<Configuration, FileErrors> buildConfiguration() {
-    if (!Errors_.empty())
-      return tl::unexpected(Errors_.extractErrors());
+  /// @return the sections without an error, and every error found
+  UsableConfiguration buildConfiguration() {
     for (auto &[Host, Routes] : Result_.Routes_)
       std::stable_sort(Routes.begin(), Routes.end(),
                        [](const RouteEntry &A, const RouteEntry &B) {
                          return A.PathPrefix_.size() > B.PathPrefix_.size();
                        });
     computeLowestRouteRanks();
-    return std::move(Result_);
+    return {std::move(Result_), Errors_.extractErrors()};
   }
 
 private:
+  bool hasSectionErrors() const { return Errors_.size() > ErrorsBefore_; }
+
   /// Sets LowestRouteRank_ of every service; 0 if no route leads to it.
   void computeLowestRouteRanks() {
     std::map<std::string, int> LowestRanks;
@@ -193,14 +194,18 @@
     if (Keys.empty() && !Keyless)
       Errors_.add(Section, Section.Line_, "key",
                   "at least one API key, or keyless = yes");
-    for (const std::string &Key : Keys) {
-      NewAccount.ApiKey_ = Key;
+    for (const std::string &Key : Keys)
       if (Key.empty())
         Errors_.add(Section, Section.Line_, "key",
                     "an API key that is not empty");
-      else if (!Result_.AccountsByKey_.emplace(Key, NewAccount).second)
+      else if (!KnownKeys_.insert(Key).second)
         Errors_.add(Section, Section.Line_, "key",
                     "an API key that no other account has");
+    if (hasSectionErrors())
+      return;
+    for (const std::string &Key : Keys) {
+      NewAccount.ApiKey_ = Key;
+      Result_.AccountsByKey_.emplace(Key, NewAccount);
     }
     Result_.AccountsByName_[NewAccount.Name_] = NewAccount;
   }
@@ -223,7 +228,8 @@
     if (NewModel.Version_.empty())
       Errors_.add(Section, Section.Line_, "version",
                   "the version that serves the model");
-    Result_.Models_[NewModel.Name_] = NewModel;
+    if (!hasSectionErrors())
+      Result_.Models_[NewModel.Name_] = NewModel;
   }
 
   void readService(const IniSection &Section) {
@@ -253,7 +259,8 @@
                                "cache_watchers", "min_hosts", "max_hosts",
                                "start_time", "spot_price", "zone_price"});
     }
-    Result_.Services_[NewService.Name_] = NewService;
+    if (!hasSectionErrors())
+      Result_.Services_[NewService.Name_] = NewService;
   }
 
   /// Reads one key of the scaling limits.
@@ -292,7 +299,8 @@
                   "a path prefix that begins and ends with a slash");
     if (NewRoute.Services_.empty())
       Errors_.add(Section, Section.Line_, "service", "NAME:WEIGHT");
-    Result_.Routes_[NewRoute.HostName_].push_back(NewRoute);
+    if (!hasSectionErrors())
+      Result_.Routes_[NewRoute.HostName_].push_back(NewRoute);
   }
 
   /// Reads one key of a route.
@@ -361,12 +369,14 @@
 
   Configuration Result_;
   FileErrorCollector Errors_;
+  std::set<std::string> KnownKeys_; ///< Of sections with errors as well.
+  std::size_t ErrorsBefore_ = 0; ///< Before the section that is being read.
 };
 
 } // namespace
 
-tl::expected<Configuration, FileErrors>
-parseConfiguration(std::string_view Text, std::string_view File) {
+tl::expected<UsableConfiguration, FileErrors>
+parseUsableConfiguration(std::string_view Text, std::string_view File) {
   auto Sections = parseIni(Text, File);
   if (!Sections)
     return tl::unexpected(Sections.error());
@@ -376,6 +386,16 @@
   return Reader.buildConfiguration();
 }
 
+tl::expected<Configuration, FileErrors>
+parseConfiguration(std::string_view Text, std::string_view File) {
+  auto Parsed = parseUsableConfiguration(Text, File);
+  if (!Parsed)
+    return tl::unexpected(Parsed.error());
+  if (!Parsed->Errors_.empty())
+    return tl::unexpected(std::move(Parsed->Errors_));
+  return std::move(Parsed->Configuration_);
+}
+
 const RouteEntry *findRoute(const Configuration &Config, std::string_view Host,
                             std::string_view Path) {
   const auto Found =
--- a/src/config.h
+++ b/src/config.h
@@ -122,6 +122,17 @@
 const RouteEntry *findRoute(const Configuration &Config, std::string_view Host,
                             std::string_view Path);
 
+/// The sections of a configuration that have no error.
+struct UsableConfiguration {
+  Configuration Configuration_;
+  FileErrors Errors_; ///< Every error of the sections that are left out.
+};
+
+/// Parses a configuration and leaves out the sections that have an error.
+/// @return the rest of it, or the first line that is not valid INI
+tl::expected<UsableConfiguration, FileErrors>
+parseUsableConfiguration(std::string_view Text, std::string_view File);
+
 /// Parses and checks a configuration.
 /// @param Text INI text
 /// @param File file name for error messages
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -58,6 +58,22 @@
   logEvent(Out, "config_in_force", {{"version", std::to_string(Version)}});
 }
 
+/// Counts and logs the errors of sections that a configuration has in vain:
+/// what it withdraws and changes elsewhere must come into force nevertheless.
+void reportSectionsLeftOut(State &S, LogOffset Version,
+                           const FileErrors &Errors, Effects &Out) {
+  constexpr std::size_t MaxLoggedErrors = 8;
+  if (Errors.empty())
+    return;
+  incrementCounter(S, "config_section_errors",
+                   static_cast<std::int64_t>(Errors.size()));
+  for (std::size_t I = 0; I < std::min(Errors.size(), MaxLoggedErrors); ++I)
+    logWarning(Out, "config_section_left_out",
+               {{"version", std::to_string(Version)},
+                {"errors", std::to_string(Errors.size())},
+                {"reason", describe(Errors[I])}});
+}
+
 /// Applies one record. Control records up to the control version are skipped:
 /// they have been applied already or were included in a snapshot.
 struct RecordVisitor {
@@ -414,7 +430,7 @@
                         std::string_view Source, Effects &Out) {
   if (Version <= S.Config_.Version_)
     return;
-  auto Parsed = parseConfiguration(Text, "configuration");
+  auto Parsed = parseUsableConfiguration(Text, "configuration");
   if (!Parsed) {
     logWarning(Out, "config_rejected",
                {{"offset", std::to_string(Version)},
@@ -427,7 +443,8 @@
   logEvent(
       Out, "config_adopted",
       {{"version", std::to_string(Version)}, {"source", std::string(Source)}});
-  applyConfiguration(S, Version, Text, std::move(*Parsed), Out);
+  reportSectionsLeftOut(S, Version, Parsed->Errors_, Out);
+  applyConfiguration(S, Version, Text, std::move(Parsed->Configuration_), Out);
 }
 
 void adoptControlSnapshot(State &S, const ControlSnapshot &Control,
--- a/src/inifile.cpp
+++ b/src/inifile.cpp
@@ -1,65 +1,67 @@
-// Parses INI text with the library inih and describes errors with their line
+// Reads each line of an INI text whole, and describes errors with their line
 // and the nearest known word.
 #include "inifile.h"
 
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
-#include <ini.h>
 #include <numeric>
 
 namespace endivewharf {
 
 namespace {
 
-/// State of the inih callbacks. inih gets one line at a time, so that the line
-/// number of each entry is known.
-struct IniReader {
-  std::string_view RemainingText_;
+constexpr std::string_view ByteOrderMark = "\xef\xbb\xbf";
+
+/// Reads a text line by line.
+class IniLineReader {
+public:
+  /// @return what is wrong with the line; empty if it was read
+  std::string readLine(std::string_view Line) {
+    ++Line_;
+    if (Line.size() > MaxIniLineBytes)
+      return fmt::format("a line of at most {} bytes, not {}", MaxIniLineBytes,
+                         Line.size());
+    Line = trimmed(Line);
+    if (Line.empty() || Line.front() == ';' || Line.front() == '#')
+      return "";
+    return Line.front() == '[' ? readHeader(Line) : readEntry(Line);
+  }
+
+  int line() const { return Line_; }
+  std::vector<IniSection> extractSections() { return std::move(Sections_); }
+
+private:
+  std::string readHeader(std::string_view Line) {
+    if (Line.back() != ']')
+      return "a ] at the end of the section's header";
+    Line = trimmed(Line.substr(1, Line.size() - 2));
+    const auto Space = Line.find(' ');
+    IniSection Section;
+    Section.Line_ = Line_;
+    Section.Kind_ = Line.substr(0, Space);
+    if (Space != std::string_view::npos)
+      Section.Name_ = trimmed(Line.substr(Space + 1));
+    Sections_.push_back(std::move(Section));
+    return "";
+  }
+
+  std::string readEntry(std::string_view Line) {
+    const auto Separator = Line.find_first_of("=:");
+    if (Separator == std::string_view::npos)
+      return "a [section] or key = value";
+    if (Sections_.empty())
+      Sections_.push_back({"", "", Line_, {}});
+    Sections_.back().Entries_.push_back(
+        {std::string(trimmed(Line.substr(0, Separator))),
+         std::string(trimmed(Line.substr(Separator + 1))), Line_});
+    return "";
+  }
+
   int Line_ = 0;
   std::vector<IniSection> Sections_;
 };
 
-/// Reader callback of inih: copies the next line into the buffer.
-/// @param Buffer destination, terminated with a null byte
-/// @param Size capacity of the buffer in bytes; a longer line is split
-/// @param UserData the IniReader
-/// @return the buffer, or null at the end of the text
-char *readIniLine(char *Buffer, int Size, void *UserData) {
-  auto &Reader = *static_cast<IniReader *>(UserData);
-  if (Reader.RemainingText_.empty() || Size < 2)
-    return nullptr;
-  const auto End = Reader.RemainingText_.find('\n');
-  const std::size_t Length =
-      End == std::string_view::npos ? Reader.RemainingText_.size() : End + 1;
-  const std::size_t CopiedLength =
-      std::min(Length, static_cast<std::size_t>(Size) - 1);
-  std::copy_n(Reader.RemainingText_.data(), CopiedLength, Buffer);
-  Buffer[CopiedLength] = '\0';
-  Reader.RemainingText_.remove_prefix(CopiedLength);
-  ++Reader.Line_;
-  return Buffer;
-}
-
-/// Entry callback of inih: adds an entry to its section.
-/// @return 1, with which inih continues
-int onIniEntry(void *UserData, const char *Section, const char *Key,
-               const char *Value) {
-  auto &Reader = *static_cast<IniReader *>(UserData);
-  auto &Sections = Reader.Sections_;
-  const std::string_view Header = trimmed(Section);
-  const auto Space = Header.find(' ');
-  const std::string Kind(Header.substr(0, Space));
-  const std::string Name(Space == std::string_view::npos
-                             ? std::string_view()
-                             : trimmed(Header.substr(Space + 1)));
-  if (Sections.empty() || Sections.back().Kind_ != Kind ||
-      Sections.back().Name_ != Name)
-    Sections.push_back({Kind, Name, Reader.Line_, {}});
-  Sections.back().Entries_.push_back({Key, Value, Reader.Line_});
-  return 1;
-}
-
 /// Suffix of a number and the factor that it stands for.
 struct Unit {
   std::string_view Name_;
@@ -125,13 +127,18 @@
 
 tl::expected<std::vector<IniSection>, FileErrors>
 parseIni(std::string_view Text, std::string_view File) {
-  IniReader Reader{Text, 0, {}};
-  const int BadLine =
-      ini_parse_stream(readIniLine, &Reader, onIniEntry, &Reader);
-  if (BadLine != 0)
-    return tl::unexpected(FileErrors{
-        {std::string(File), BadLine, "", "", "a [section] or key = value"}});
-  return std::move(Reader.Sections_);
+  if (Text.substr(0, ByteOrderMark.size()) == ByteOrderMark)
+    Text.remove_prefix(ByteOrderMark.size());
+  IniLineReader Reader;
+  while (!Text.empty()) {
+    const auto End = Text.find('\n');
+    const std::string Expected = Reader.readLine(Text.substr(0, End));
+    if (!Expected.empty())
+      return tl::unexpected(
+          FileErrors{{std::string(File), Reader.line(), "", "", Expected}});
+    Text = End == std::string_view::npos ? "" : Text.substr(End + 1);
+  }
+  return Reader.extractSections();
 }
 
 tl::expected<Millis, std::monostate> parseDuration(std::string_view Text) {
--- a/src/inifile.h
+++ b/src/inifile.h
@@ -34,7 +34,7 @@
   };
   std::string Kind_; ///< First word of the header.
   std::string Name_; ///< Rest of the header; may be empty.
-  int Line_ = 0;     ///< Line number of the section's first entry.
+  int Line_ = 0;     ///< Line number of the section's header.
   std::vector<Entry> Entries_;
 };
 
@@ -59,6 +59,7 @@
   void addAll(const FileErrors &Others);
 
   bool empty() const { return Errors_.empty(); }
+  std::size_t size() const { return Errors_.size(); }
   /// Moves the collected errors out of this object.
   FileErrors extractErrors() { return std::move(Errors_); }
   const std::string &file() const { return File_; }
@@ -68,11 +69,14 @@
   FileErrors Errors_;
 };
 
-/// Parses INI text into sections in file order. Sections without entries are
-/// left out, and adjacent sections with the same header become one.
+/// Longest line of an INI text, in bytes.
+constexpr std::size_t MaxIniLineBytes = 1 << 20;
+
+/// Parses INI text into sections in file order. A name goes to the end of its
+/// header, and a value to the end of its line, without the blanks around it.
 /// @param Text text of the whole file
 /// @param File file name for error messages
-/// @return the sections, or the first line that is not valid INI
+/// @return the sections, or the first line that is too long or not valid INI
 tl::expected<std::vector<IniSection>, FileErrors>
 parseIni(std::string_view Text, std::string_view File);
 
--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -362,6 +362,21 @@
   EXPECT_EQ(State_.Config_.Configuration_.AccountsByKey_.count("k1"), 1U);
 }
 
+// Guards against a withdrawn key that stays valid because another entry of the
+// version can't be used.
+TEST_F(RoutedTest, configuration_withAnUnusableSection_withdrawsTheKey) {
+  std::string Text = Config;
+  Text.replace(Text.find("key = k1"), 8, "key = " + std::string(4000, 'n'));
+  Text += "[account broken]\nrate = many\nkey = z\n";
+  reduceEvent(OperatorLogRead{6, {{5, PublishedConfiguration{Text}}}});
+  EXPECT_EQ(State_.Config_.Version_, 5);
+  const auto &Accounts = State_.Config_.Configuration_.AccountsByKey_;
+  EXPECT_EQ(Accounts.count("k1"), 0U);
+  EXPECT_EQ(Accounts.count(std::string(4000, 'n')), 1U);
+  EXPECT_EQ(Accounts.count("z"), 0U);
+  EXPECT_EQ(State_.Counters_.Values_["config_section_errors"], 1);
+}
+
 TEST_F(RoutedTest, configuration_newerAtAPeer_isAskedForAndTakenOver) {
   DigestMessage Digest;
   PeerRow Row;
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -108,6 +108,63 @@
   }
 }
 
+// Guards against a text of which a long line is split, or a long header cut.
+TEST(IniTest, linesAndHeaders_ofAnyLength_areReadWhole) {
+  for (const std::size_t Length : {1, 41, 49, 199, 200, 256, 16000}) {
+    const std::string Long(Length, 'x');
+    const auto Parsed =
+        parseIni("[account " + Long + "]\nkey = " + Long + "\n", "a.ini");
+    ASSERT_TRUE(Parsed) << Length;
+    ASSERT_EQ(Parsed->size(), 1U) << Length;
+    EXPECT_EQ(Parsed->front().Name_, Long);
+    ASSERT_EQ(Parsed->front().Entries_.size(), 1U) << Length;
+    EXPECT_EQ(Parsed->front().Entries_.front().Value_, Long);
+  }
+}
+
+TEST(IniTest, line_overTheLimit_isRefusedWithItsLengthAndLine) {
+  const std::string Line = "key = " + std::string(MaxIniLineBytes, 'x');
+  const auto Parsed = parseIni("[a b]\n" + Line + "\n", "a.ini");
+  ASSERT_FALSE(Parsed);
+  EXPECT_EQ(Parsed.error().front().File_, "a.ini");
+  EXPECT_EQ(Parsed.error().front().Line_, 2);
+  EXPECT_NE(Parsed.error().front().Expected_.find(std::to_string(Line.size())),
+            std::string::npos);
+}
+
+TEST(IniTest, lines_commentsBlanksAndOddOnes_areReadOrTold) {
+  const auto Parsed = parseIni("\xef\xbb\xbf# c\n; c\r\n\n  [a b c]  \r\n"
+                               "\tk = v ; w # x\n k2: v = 2\nempty =\n[d]",
+                               "a.ini");
+  ASSERT_TRUE(Parsed);
+  ASSERT_EQ(Parsed->size(), 2U);
+  const IniSection &First = Parsed->front();
+  EXPECT_EQ(First.Kind_ + "|" + First.Name_, "a|b c");
+  ASSERT_EQ(First.Entries_.size(), 3U);
+  EXPECT_EQ(First.Entries_[0].Value_, "v ; w # x");
+  EXPECT_EQ(First.Entries_[0].Line_, 5);
+  EXPECT_EQ(First.Entries_[1].Key_ + "|" + First.Entries_[1].Value_,
+            "k2|v = 2");
+  EXPECT_EQ(First.Entries_[2].Value_, "");
+  for (const char *Bad : {"[a b\n", "word\n", "[a]\nword\n", "[a] x\n"})
+    EXPECT_FALSE(parseIni(Bad, "a.ini")) << Bad;
+}
+
+// Guards against a configuration that is kept out as a whole by one section.
+TEST(ConfigTest, sections_withErrors_leaveTheOthersUsable) {
+  const auto Parsed = parseUsableConfiguration(
+      "[account a]\nkey = k1\n[account b]\nkey = k1\nkey = k2\n"
+      "[service s]\nslots = -1\n[service t]\nslots = 2\n"
+      "[route r]\nhost = h\npath = x\nservice = t:1\n",
+      "c.ini");
+  ASSERT_TRUE(Parsed);
+  EXPECT_EQ(Parsed->Errors_.size(), 3U);
+  EXPECT_EQ(Parsed->Configuration_.AccountsByKey_.size(), 1U);
+  EXPECT_EQ(Parsed->Configuration_.AccountsByName_.count("b"), 0U);
+  EXPECT_EQ(Parsed->Configuration_.Services_.size(), 1U);
+  EXPECT_TRUE(Parsed->Configuration_.Routes_.empty());
+}
+
 TEST(ConfigTest, text_mistakes_areTold) {
   const auto Parsed = parseConfiguration(
       "[account a]\nkey = k\nrate = -3\n[account b]\nkey = k\n"
