--- a/src/config.cpp
+++ b/src/config.cpp
@@ -191,6 +191,10 @@
     if (NewAccount.Name_.empty())
       Errors_.add(Section, Section.Line_, "",
                   "a header with the account's name: [account NAME]");
+    else if (!isHeaderText(NewAccount.Name_))
+      Errors_.add(Section, Section.Line_, "",
+                  "a name that can stand in a header: no control characters, "
+                  "no blank at either end");
     if (Keys.empty() && !Keyless)
       Errors_.add(Section, Section.Line_, "key",
                   "at least one API key, or keyless = yes");
@@ -370,7 +374,7 @@
   Configuration Result_;
   FileErrorCollector Errors_;
   std::set<std::string> KnownKeys_; ///< Of sections with errors as well.
-  std::size_t ErrorsBefore_ = 0; ///< Before the section that is being read.
+  std::size_t ErrorsBefore_ = 0;    ///< Before the section that is being read.
 };
 
 } // namespace
--- a/src/controllog.cpp
+++ b/src/controllog.cpp
@@ -74,6 +74,26 @@
                 {"reason", describe(Errors[I])}});
 }
 
+/// Parses a configuration of the store or of a peer and puts it into force.
+void putIntoForce(State &S, LogOffset Version, const std::string &Text,
+                  std::string_view Source, Effects &Out) {
+  auto Parsed = parseUsableConfiguration(Text, "configuration");
+  if (!Parsed) {
+    logWarning(Out, "config_rejected",
+               {{"offset", std::to_string(Version)},
+                {"source", std::string(Source)},
+                {"reason", describe(Parsed.error().front())}});
+    recordRejection(S.Config_.RejectedVersions_, Version,
+                    describe(Parsed.error().front()));
+    return;
+  }
+  logEvent(
+      Out, "config_adopted",
+      {{"version", std::to_string(Version)}, {"source", std::string(Source)}});
+  reportSectionsLeftOut(S, Version, Parsed->Errors_, Out);
+  applyConfiguration(S, Version, Text, std::move(Parsed->Configuration_), Out);
+}
+
 /// Applies one record. Control records up to the control version are skipped:
 /// they have been applied already or were included in a snapshot.
 struct RecordVisitor {
@@ -430,21 +450,11 @@
                         std::string_view Source, Effects &Out) {
   if (Version <= S.Config_.Version_)
     return;
-  auto Parsed = parseUsableConfiguration(Text, "configuration");
-  if (!Parsed) {
-    logWarning(Out, "config_rejected",
-               {{"offset", std::to_string(Version)},
-                {"source", std::string(Source)},
-                {"reason", describe(Parsed.error().front())}});
-    recordRejection(S.Config_.RejectedVersions_, Version,
-                    describe(Parsed.error().front()));
-    return;
-  }
-  logEvent(
-      Out, "config_adopted",
-      {{"version", std::to_string(Version)}, {"source", std::string(Source)}});
-  reportSectionsLeftOut(S, Version, Parsed->Errors_, Out);
-  applyConfiguration(S, Version, Text, std::move(Parsed->Configuration_), Out);
+  putIntoForce(S, Version, Text, Source, Out);
+}
+
+void replaceConfiguration(State &S, const std::string &Text, Effects &Out) {
+  putIntoForce(S, S.Config_.Version_, Text, "store", Out);
 }
 
 void adoptControlSnapshot(State &S, const ControlSnapshot &Control,
--- a/src/controllog.h
+++ b/src/controllog.h
@@ -39,6 +39,10 @@
 void adoptConfiguration(State &S, LogOffset Version, const std::string &Text,
                         std::string_view Source, Effects &Out);
 
+/// Puts another text for the version in force into force. The store's text goes
+/// before that of a peer.
+void replaceConfiguration(State &S, const std::string &Text, Effects &Out);
+
 /// Adopts a control state if it is newer than this process's. On the platform
 /// the configuration and the rollouts are adopted separately, each if newer.
 /// @param Source origin of the control state, for the log lines
--- a/src/inifile.cpp
+++ b/src/inifile.cpp
@@ -2,6 +2,8 @@
 // and the nearest known word.
 #include "inifile.h"
 
+#include "iniwriter.h"
+
 #include <algorithm>
 #include <charconv>
 #include <fmt/format.h>
@@ -42,6 +44,11 @@
     Section.Kind_ = Line.substr(0, Space);
     if (Space != std::string_view::npos)
       Section.Name_ = trimmed(Line.substr(Space + 1));
+    if (HasEscapes_ && !unescapeIniText(Section.Name_))
+      return "two hexadecimal digits after each %";
+    IsInFormat_ = Sections_.empty() && Section.Kind_ == IniFormatSection;
+    if (IsInFormat_)
+      return "";
     Sections_.push_back(std::move(Section));
     return "";
   }
@@ -50,15 +57,26 @@
     const auto Separator = Line.find_first_of("=:");
     if (Separator == std::string_view::npos)
       return "a [section] or key = value";
+    const std::string_view Key = trimmed(Line.substr(0, Separator));
+    std::string Value(trimmed(Line.substr(Separator + 1)));
+    if (IsInFormat_) {
+      HasEscapes_ = Key == IniEscapesKey && Value == IniPercentEscapes;
+      return HasEscapes_
+                 ? ""
+                 : fmt::format("{} = {}", IniEscapesKey, IniPercentEscapes);
+    }
+    if (HasEscapes_ && !unescapeIniText(Value))
+      return "two hexadecimal digits after each %";
     if (Sections_.empty())
       Sections_.push_back({"", "", Line_, {}});
     Sections_.back().Entries_.push_back(
-        {std::string(trimmed(Line.substr(0, Separator))),
-         std::string(trimmed(Line.substr(Separator + 1))), Line_});
+        {std::string(Key), std::move(Value), Line_});
     return "";
   }
 
   int Line_ = 0;
+  bool IsInFormat_ = false; ///< Within the section that tells of escapes.
+  bool HasEscapes_ = false;
   std::vector<IniSection> Sections_;
 };
 
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -29,8 +29,13 @@
   Effects &Out_;
 
   void operator()(const PublishedConfiguration &Published) const {
-    adoptConfiguration(S_, Published.Version_.value_or(Offset_),
-                       Published.Text_, "store", Out_);
+    const LogOffset Version = Published.Version_.value_or(Offset_);
+    // A peer of an earlier build may have sent this version in a text from
+    // which not all of it can be read.
+    if (Version == S_.Config_.Version_ && Published.Text_ != S_.Config_.Text_)
+      replaceConfiguration(S_, Published.Text_, Out_);
+    else
+      adoptConfiguration(S_, Version, Published.Text_, "store", Out_);
   }
   void operator()(const RolloutRequest &Request) const {
     applyRolloutRequest(S_, Offset_, Request, Out_);
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -1,6 +1,7 @@
 // Names of the enumerations in logs, JSON and metrics, and the HTTP status of
 // each error.
 #include "types.h"
+#include <algorithm>
 
 #include <array>
 #include <utility>
@@ -89,6 +90,13 @@
 
 int httpStatus(ErrorKind Kind) { return errorRow(Kind).Status_; }
 
+bool isHeaderText(std::string_view Text) {
+  return !Text.empty() && trimmed(Text).size() == Text.size() &&
+         std::none_of(Text.begin(), Text.end(), [](char C) {
+           return static_cast<unsigned char>(C) < 0x20 || C == 0x7f;
+         });
+}
+
 std::string_view trimmed(std::string_view Text) {
   constexpr std::string_view WhiteSpace = " \t\r\n";
   const auto First = Text.find_first_not_of(WhiteSpace);
--- a/src/types.h
+++ b/src/types.h
@@ -135,6 +135,10 @@
 /// @return status code of 400 or more
 int httpStatus(ErrorKind Kind);
 
+/// @return true if the text can be the value of an HTTP header as it is: it is
+///   not empty, has no control characters, and no blank at either end
+bool isHeaderText(std::string_view Text);
+
 /// @return the text without leading and trailing white space
 std::string_view trimmed(std::string_view Text);
 
--- a/tests/routed_test.cpp
+++ b/tests/routed_test.cpp
@@ -362,6 +362,19 @@
   EXPECT_EQ(State_.Config_.Configuration_.AccountsByKey_.count("k1"), 1U);
 }
 
+// Guards against a text of a peer, from which an earlier build has lost a part,
+// that stays in force although the store has the version.
+TEST_F(RoutedTest, configuration_ofAPeer_isReplacedByTheStoresText) {
+  receiveControlSnapshot(8, std::string(Config) + "[account cut]\nkey = k9\n");
+  ASSERT_EQ(State_.Config_.Configuration_.AccountsByKey_.at("k9").Name_, "cut");
+  const std::string Text =
+      std::string(Config) + "[account cut short]\nkey = k9\n";
+  reduceEvent(OperatorLogRead{9, {{8, PublishedConfiguration{Text}}}});
+  EXPECT_EQ(State_.Config_.Version_, 8);
+  EXPECT_EQ(State_.Config_.Configuration_.AccountsByKey_.at("k9").Name_,
+            "cut short");
+}
+
 // Guards against a withdrawn key that stays valid because another entry of the
 // version can't be used.
 TEST_F(RoutedTest, configuration_withAnUnusableSection_withdrawsTheKey) {
--- a/tests/wire_test.cpp
+++ b/tests/wire_test.cpp
@@ -2,8 +2,13 @@
 // input is decoded, and no input makes a decoder do more than report an error.
 #include "platform/wire.h"
 
+#include "codec.h"
+#include "config.h"
+
+#include <array>
 #include <fmt/format.h>
 #include <gtest/gtest.h>
+#include <random>
 #include <rapidcheck/gtest.h>
 
 namespace endivewharf::platform {
@@ -20,6 +25,32 @@
   return Text;
 }
 
+/// Makes texts of 1 to 16,000 bytes, with all that formats of text treat
+/// specially and with characters of several bytes.
+class TextMaker {
+public:
+  explicit TextMaker(std::uint64_t Seed) : Random_(Seed) {}
+
+  std::string make() {
+    static const std::vector<std::string> Pieces = {
+        "a",  "b",   "7",      "]",          "[",   "=",  ":",  ";",
+        " ",  " ;",  "#",      "%",          "\"",  "\\", "\n", "\r",
+        "\t", "%41", "\u0915", "\u00e9",     "/",   ",",  "'",  "{",
+        "}",  "|",   "\x7f",   "\U0001f600", "\x01"};
+    constexpr std::array<std::size_t, 6> Lengths = {1, 8, 41, 60, 256, 16000};
+    const std::size_t Length = Lengths[Random_() % Lengths.size()];
+    // Most texts have no control characters.
+    const std::size_t Kinds = Random_() % 4 == 0 ? Pieces.size() : 10;
+    std::string Text;
+    while (Text.size() < Length)
+      Text += Pieces[Random_() % Kinds];
+    return Text;
+  }
+
+private:
+  std::mt19937_64 Random_;
+};
+
 } // namespace
 
 TEST(WireTest, hostEntry_complete_isRead) {
@@ -96,6 +127,79 @@
         << Version;
 }
 
+// Guards against two accounts that run under one name, as theirs are cut.
+TEST(WireTest, configuration_withLongNames_keepsThemApart) {
+  for (const std::size_t Length : {41, 50, 255, 4000}) {
+    const std::string Stem(Length, 'n');
+    const auto Text = decodeConfiguration(fmt::format(
+        R"({{"version":1,"routes":[],"services":[],"tenants":[)"
+        R"({{"name":"{0}a","apiKeys":["ka"]}},{{"name":"{0}b","apiKeys":["kb"]}}]}})",
+        Stem));
+    ASSERT_TRUE(Text) << Length;
+    const auto Config = parseConfiguration(Text->Text_, "test");
+    ASSERT_TRUE(Config) << Length << describe(Config.error().front());
+    EXPECT_EQ(Config->AccountsByKey_.at("ka").Name_, Stem + "a") << Length;
+    EXPECT_EQ(Config->AccountsByKey_.at("kb").Name_, Stem + "b") << Length;
+  }
+}
+
+// Guards against any name, key or path that is read otherwise than the operator
+// wrote it, from the store or from a peer.
+RC_GTEST_PROP(WireTest, configuration_anyTexts_isReadAsWritten,
+              (std::uint64_t Seed)) {
+  TextMaker Texts(Seed);
+  const std::string Name = "n" + Texts.make() + "n";
+  const std::string Key = Texts.make() + "k";
+  const std::string Path = "/" + Texts.make() + "/";
+  const std::string Service = "s" + Texts.make() + "s";
+  const Json Body = {{"version", 3},
+                     {"tenants", {{{"name", Name}, {"apiKeys", {Key, "k2"}}}}},
+                     {"services", {{{"name", Service}, {"healthPath", Path}}}},
+                     {"routes",
+                      {{{"name", Texts.make()},
+                        {"host", "h" + Key},
+                        {"pathPrefix", Path},
+                        {"kind", "idempotent"},
+                        {"service", Service}}}}};
+  const auto Decoded = decodeConfiguration(Body.dump());
+  RC_ASSERT(Decoded.has_value());
+  // As a peer sends it.
+  ControlSnapshot Sent;
+  Sent.ConfigText_ = Decoded->Text_;
+  const auto Received = decodeMessage(
+      encodeMessage(PeerEnvelope{{"p", 1}, ControlMessage{Sent}}));
+  RC_ASSERT(Received.has_value());
+  const std::string &Text =
+      std::get<ControlMessage>(Received->Message_).Control_.ConfigText_;
+  const auto Config = parseUsableConfiguration(Text, "test");
+  RC_ASSERT(Config.has_value());
+  const Configuration &C = Config->Configuration_;
+  RC_ASSERT(C.Services_.size() == 1U);
+  RC_ASSERT(C.Services_.begin()->first == Service);
+  RC_ASSERT(C.Services_.begin()->second.HealthPath_ == Path);
+  RC_ASSERT(C.Routes_.size() == 1U);
+  RC_ASSERT(C.Routes_.begin()->second.front().PathPrefix_ == Path);
+  RC_ASSERT(C.Routes_.begin()->second.front().Services_.front().Service_ ==
+            Service);
+  // A name that no header can carry is no account, and its keys are refused.
+  RC_ASSERT(C.AccountsByKey_.count(Key) == (isHeaderText(Name) ? 1U : 0U));
+  if (isHeaderText(Name))
+    RC_ASSERT(C.AccountsByKey_.at(Key).Name_ == Name);
+}
+
+TEST(WireTest, hostEntry_nameThatNoHeaderCarries_isATypedError) {
+  for (const char *Id : {"", "i\r\nTenant: x", " i", "i\x7f"})
+    EXPECT_FALSE(decodeHost(Id, HostRecordJson)) << Id;
+  EXPECT_TRUE(decodeHost(std::string(300, 'i'), HostRecordJson));
+}
+
+TEST(WireTest, recordKey_longerThanItsLengthByte_isBoundedAndDistinct) {
+  const std::string Long(300, 'k');
+  EXPECT_EQ(boundedRecordKey("share/s"), "share/s");
+  EXPECT_EQ(boundedRecordKey(Long).size(), MaxRecordKeyBytes);
+  EXPECT_NE(boundedRecordKey(Long + "a"), boundedRecordKey(Long + "b"));
+}
+
 // Guards against a version that is refused whole because a key in it is long.
 TEST(WireTest, configuration_withLongKeys_isReadWhole) {
   for (const std::size_t Length : {190, 220, 256, 16000}) {
