LOST: bytes without end cost neither memory nor the sound requests

Callers saw: beside upstreams that send bytes without end, sound requests were not served (2,251 of 4,748, 33 of 51, 13 of 30), and the process grew to 700 MB (events that repeat) and 1,290 MB (callers that do not read).

Cause: bytes that are no answer counted as a fault of the connection, so the host was chosen again; libcurl reads a chunk's extension without telling anybody; events with ids that do not grow were dropped without end, after all of them had come into the queue; what a caller does not take was kept without limit; all answers together had no limit.

Why it works: each place has an end of its own, the sum has one, and a host at fault is set aside, so that the sound ones get the requests.

--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -63,6 +63,7 @@
   std::string Buffer_; ///< Bytes of an incomplete line, or the body so far.
   std::int64_t BytesReceived_ = 0;
   std::int64_t LastEventId_ = -1;
+  bool GivenUp_ = false;       ///< All answers together had become too large.
   bool EndMarkerSeen_ = false; ///< The `[DONE]` line has arrived.
   std::string FinishReason_;
   std::int64_t PromptTokens_ = 0;
@@ -120,7 +121,8 @@
       std::move(Request),
       [this, R](int, std::string_view Bytes) {
         R->Buffer_.append(Bytes);
-        return static_cast<std::int64_t>(R->Buffer_.size()) <= MaxAnswerBytes_;
+        return isWithinBudget(*R) &&
+               static_cast<std::int64_t>(R->Buffer_.size()) <= MaxAnswerBytes_;
       },
       [this, Id = E.Attempt_](const HttpResult &Result) {
         onTransferEnded(Id, Result);
@@ -132,6 +134,7 @@
   if (Found == RunningAttempts_.end())
     return;
   Client_.cancelTransfer(Found->second->Transfer_);
+  Budget_.remove(E.Attempt_);
   RunningAttempts_.erase(Found);
 }
 
@@ -154,7 +157,18 @@
     Begin = End + 1;
   }
   R.Buffer_.erase(0, Begin);
-  return R.Buffer_.size() <= MaxLineBytes;
+  return isWithinBudget(R) && R.Buffer_.size() <= MaxLineBytes;
+}
+
+bool AttemptRunner::isWithinBudget(RunningAttempt &R) {
+  if (const auto Largest = Budget_.set(R.Attempt_, R.Buffer_.size())) {
+    RunningAttempt &Victim = *RunningAttempts_.at(*Largest);
+    Victim.GivenUp_ = true;
+    Victim.Buffer_.clear();
+    Victim.Buffer_.shrink_to_fit();
+    Budget_.remove(*Largest);
+  }
+  return !R.GivenUp_;
 }
 
 bool AttemptRunner::onLine(RunningAttempt &R, std::string_view Line) {
@@ -211,6 +225,12 @@
     return;
   const std::shared_ptr<RunningAttempt> R = Found->second;
   RunningAttempts_.erase(Found);
+  Budget_.remove(Id);
+  if (R->GivenUp_) {
+    reportFailure(Id, AttemptFailure::ProtocolError,
+                  "the answers of all upstreams together were too large");
+    return;
+  }
   const bool IsComplete = transferEnd(Result) == TransferEnd::Complete;
   const bool IsBusyStatus = Result.Status_ == 503 || Result.Status_ == 429;
   if (IsComplete && IsBusyStatus &&
--- a/src/attempts.h
+++ b/src/attempts.h
@@ -3,6 +3,7 @@
 // results as events.
 #pragma once
 
+#include "answerbudget.h"
 #include "client.h"
 #include "effect.h"
 
@@ -38,6 +39,10 @@
   /// Handles bytes of a completion's stream.
   /// @return false if the transfer is to be stopped
   bool onBytes(RunningAttempt &R, int Status, std::string_view Bytes);
+  /// Charges what an attempt keeps to the budget of all, and gives up the one
+  /// that keeps most if it is exceeded.
+  /// @return false if this attempt was given up
+  bool isWithinBudget(RunningAttempt &R);
   /// Handles one line of server-sent events.
   /// @return false if the line breaks the protocol
   bool onLine(RunningAttempt &R, std::string_view Line);
@@ -51,6 +56,7 @@
   std::int64_t MaxAnswerBytes_;
   std::unordered_map<AttemptId, std::shared_ptr<RunningAttempt>>
       RunningAttempts_;
+  AnswerBudget Budget_;
 };
 
 } // namespace endivewharf
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -8,6 +8,7 @@
 #include <ctime>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace endivewharf {
 
@@ -27,6 +28,33 @@
 // Limit for all header lines of an answer, with interim heads and trailers.
 constexpr std::size_t MaxHeadBytes = 64 << 10;
 constexpr Millis MsPerSecond = 1000;
+// Body bytes that a transfer hands over before other work has its turn.
+constexpr std::size_t MaxBytesPerTurn = 256 << 10;
+// Reads that may yield neither a head's line nor body bytes before the bytes
+// that are read in vain count, and the limit for these: framing, such as the
+// extension of a chunk, may have no end.
+constexpr int MaxUncountedReads = 1;
+constexpr std::size_t MaxBytesInVain = 256 << 10;
+
+// CURLE_TOO_LARGE, which older versions of libcurl do not define.
+constexpr auto TooLargeCode = static_cast<CURLcode>(100);
+
+/// @return true if a transfer failed because of the bytes that came. On a
+///   connection used before they may be left over from the answer before.
+bool isMalformedAnswer(CURLcode Code, bool IsNewConnection) {
+  const bool IsHeadTooLong =
+      Code == CURLE_OUT_OF_MEMORY || Code == TooLargeCode;
+  const bool IsNoAnswer =
+      Code == CURLE_UNSUPPORTED_PROTOCOL || Code == CURLE_WEIRD_SERVER_REPLY;
+  return IsHeadTooLong || (IsNoAnswer && IsNewConnection);
+}
+
+/// @return true if a transfer has opened its connection itself
+bool usesNewConnection(CURL *Easy) {
+  long Opened = 0;
+  curl_easy_getinfo(Easy, CURLINFO_NUM_CONNECTS, &Opened);
+  return Opened > 0;
+}
 
 bool startsWithIgnoringCase(std::string_view Text, std::string_view Prefix) {
   return Text.size() >= Prefix.size() &&
@@ -60,6 +88,7 @@
 
 /// One request in progress.
 struct HttpClient::Transfer {
+  HttpClient *Client_ = nullptr;
   std::uint64_t Id_ = 0;
   CURL *Easy_ = nullptr;
   curl_slist *RequestHeaders_ = nullptr;
@@ -72,6 +101,9 @@
   std::size_t HeadBytes_ = 0;
   /// Times that libcurl was about to write the request on a connection.
   int SendCount_ = 0;
+  int ReadsInVain_ = 0;           ///< Since the last line or body byte.
+  std::size_t BytesInVain_ = 0;   ///< After the first of these reads.
+  std::size_t BytesThisTurn_ = 0; ///< Body bytes of this turn of reading.
   Millis StartedAt_ = 0;
   Millis LastByteAt_ = 0;
   bool BodyStarted_ = false;
@@ -88,6 +120,7 @@
 
   asio::posix::stream_descriptor Descriptor_;
   curl_socket_t Socket_;
+  CURL *Easy_ = nullptr; ///< Transfer that uses the connection now.
   bool WantRead_ = false;
   bool WantWrite_ = false;
   bool ReadWaitPending_ = false;
@@ -125,6 +158,7 @@
                                         ResultSink Done, HeadSink Head) {
   auto NewTransfer = std::make_unique<Transfer>();
   Transfer &T = *NewTransfer;
+  T.Client_ = this;
   T.Id_ = NextId_++;
   T.Request_ = std::move(Request);
   T.OnBody_ = std::move(Body);
@@ -195,13 +229,42 @@
   });
 }
 
-int HttpClient::onSocketInterest(CURL *, curl_socket_t Socket, int Interest,
+int HttpClient::onSocketInterest(CURL *Easy, curl_socket_t Socket, int Interest,
                                  void *User, void *) {
-  static_cast<HttpClient *>(User)->updateSocketWatch(Socket, Interest);
+  static_cast<HttpClient *>(User)->updateSocketWatch(Easy, Socket, Interest);
   return 0;
 }
 
-void HttpClient::updateSocketWatch(curl_socket_t Socket, int Interest) {
+bool HttpClient::beginRead(const SocketWatch &Watch) {
+  const auto Found = TransferByHandle_.find(Watch.Easy_);
+  if (Found == TransferByHandle_.end())
+    return true;
+  Transfer &T = *Found->second;
+  T.BytesThisTurn_ = 0;
+  if (++T.ReadsInVain_ <= MaxUncountedReads)
+    return true;
+  int Waiting = 0;
+  if (ioctl(Watch.Socket_, FIONREAD, &Waiting) == 0 && Waiting > 0)
+    T.BytesInVain_ += static_cast<std::size_t>(Waiting);
+  if (T.BytesInVain_ <= MaxBytesInVain)
+    return true;
+  finishTransfer(T, TransferEnd::Stopped, "bytes without end that say nothing");
+  return false;
+}
+
+void HttpClient::resumeLater(std::uint64_t Id) {
+  asio::post(Io_, [this, Id] {
+    const auto Found = Transfers_.find(Id);
+    if (Found == Transfers_.end())
+      return;
+    Found->second->BytesThisTurn_ = 0;
+    curl_easy_pause(Found->second->Easy_, CURLPAUSE_CONT);
+    finishCompletedTransfers();
+  });
+}
+
+void HttpClient::updateSocketWatch(CURL *Easy, curl_socket_t Socket,
+                                   int Interest) {
   const auto Found = Watches_.find(Socket);
   if (Interest == CURL_POLL_REMOVE) {
     if (Found == Watches_.end())
@@ -215,6 +278,7 @@
                    ? Found->second
                    : std::make_shared<SocketWatch>(Io_, Socket);
   Watches_[Socket] = Watch;
+  Watch->Easy_ = Easy;
   Watch->WantRead_ = (Interest & CURL_POLL_IN) != 0;
   Watch->WantWrite_ = (Interest & CURL_POLL_OUT) != 0;
   waitForSocket(Watch, false);
@@ -237,7 +301,7 @@
     if (Watch->Removed_ || Error == asio::error::operation_aborted)
       return;
     const bool IsStillInterested = Write ? Watch->WantWrite_ : Watch->WantRead_;
-    if (IsStillInterested)
+    if (IsStillInterested && (Write || beginRead(*Watch)))
       processSocketAction(Watch->Socket_,
                           Write ? CURL_CSELECT_OUT : CURL_CSELECT_IN);
     waitForSocket(Watch, Write);
@@ -269,6 +333,8 @@
   auto &T = *static_cast<Transfer *>(User);
   const std::string_view Line(Data, Size * Count);
   T.HeadBytes_ += Line.size();
+  T.ReadsInVain_ = 0;
+  T.BytesInVain_ = 0;
   if (T.HeadBytes_ > MaxHeadBytes) {
     T.Stopped_ = true;
     return 0;
@@ -330,6 +396,14 @@
                                void *User) {
   auto &T = *static_cast<Transfer *>(User);
   const std::size_t Bytes = Size * Count;
+  if (T.OnDone_ && T.BytesThisTurn_ >= MaxBytesPerTurn) {
+    // libcurl keeps these bytes and hands them over again.
+    T.Client_->resumeLater(T.Id_);
+    return CURL_WRITEFUNC_PAUSE;
+  }
+  T.BytesThisTurn_ += Bytes;
+  T.ReadsInVain_ = 0;
+  T.BytesInVain_ = 0;
   T.LastByteAt_ = monotonicNow();
   T.BodyStarted_ = true;
   if (!T.OnDone_)
@@ -361,6 +435,8 @@
       End = TransferEnd::Stopped;
     else if (T.SendCount_ == 0)
       End = TransferEnd::NotSent;
+    else if (isMalformedAnswer(Code, usesNewConnection(T.Easy_)))
+      End = TransferEnd::Stopped;
     std::string Detail = Code == CURLE_OK ? "" : curl_easy_strerror(Code);
     if (Code == CURLE_OK && !T.HeadComplete_)
       Detail = "the connection ended within the head";
--- a/src/client.h
+++ b/src/client.h
@@ -49,7 +49,9 @@
   NotSent, ///< No byte of the request was written.
   ConnectionBroken,
   TimedOut, ///< One of the request's timeouts passed.
-  Stopped   ///< Stopped by the body sink, a cancellation or an oversized head.
+  /// Stopped by the body sink, a cancellation, an oversized head, or bytes
+  /// that are no answer.
+  Stopped
 };
 
 /// Outcome of a transfer.
@@ -111,7 +113,13 @@
   static int onBeforeSend(void *User, char *, char *, int, int);
   static int onNewSocket(void *User, curl_socket_t Socket, curlsocktype Type);
 
-  void updateSocketWatch(curl_socket_t Socket, int Interest);
+  void updateSocketWatch(CURL *Easy, curl_socket_t Socket, int Interest);
+  /// Begins a turn of reading from a transfer's connection.
+  /// @return false if the transfer was stopped: it has read for long without a
+  ///   line of its head or a byte of its body
+  bool beginRead(const SocketWatch &Watch);
+  /// Lets a transfer go on that has read enough for one turn.
+  void resumeLater(std::uint64_t Id);
   void waitForSocket(const std::shared_ptr<SocketWatch> &Watch, bool Write);
   void processSocketAction(curl_socket_t Socket, int Mask);
   void finishCompletedTransfers();
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -36,6 +36,7 @@
   ChildProcess &operator=(const ChildProcess &) = delete;
 
   void sendSignal(int Number) const;
+  pid_t id() const { return Pid_; }
   /// @return exit status if the process has ended, 128 plus the signal number
   /// if a signal ended it
   std::optional<int> exitStatus();
--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -464,6 +464,22 @@
   EXPECT_EQ(Server.connections(), 1);
 }
 
+// Guards against answers that are small enough each and too large together.
+TEST(AnswerBudgetTest, total_overTheLimit_namesTheLargest) {
+  AnswerBudget Budget;
+  constexpr std::size_t Half = AnswerBudget::MaxBytes / 2;
+  EXPECT_EQ(Budget.set(1, Half - 10), std::nullopt);
+  EXPECT_EQ(Budget.set(2, Half + 10), std::nullopt);
+  EXPECT_EQ(Budget.set(3, 1), std::optional<AttemptId>(2));
+  Budget.remove(2);
+  EXPECT_EQ(Budget.set(3, 20), std::nullopt);
+  EXPECT_EQ(Budget.total(), Half + 10);
+  Budget.remove(1);
+  Budget.remove(3);
+  Budget.remove(3);
+  EXPECT_EQ(Budget.total(), 0U);
+}
+
 TEST(AnsweredRequestsTest, request_pastItsTime_isForgotten) {
   AnsweredRequests Known;
   Known.add("r1", "a:1", 1000);
