--- a/src/client.cpp
+++ b/src/client.cpp
@@ -426,17 +426,17 @@
     if (Found == TransferByHandle_.end())
       continue;
     Transfer &T = *Found->second;
+    const bool Malformed =
+        T.SendCount_ > 0 && isMalformedAnswer(Code, usesNewConnection(T.Easy_));
     TransferEnd End = TransferEnd::ConnectionBroken;
     // libcurl takes a connection that closes within the head for a whole
     // answer.
     if (Code == CURLE_OK && T.HeadComplete_)
       End = TransferEnd::Complete;
-    else if (T.Stopped_)
+    else if (T.Stopped_ || Malformed)
       End = TransferEnd::Stopped;
     else if (T.SendCount_ == 0)
       End = TransferEnd::NotSent;
-    else if (isMalformedAnswer(Code, usesNewConnection(T.Easy_)))
-      End = TransferEnd::Stopped;
     std::string Detail = Code == CURLE_OK ? "" : curl_easy_strerror(Code);
     if (Code == CURLE_OK && !T.HeadComplete_)
       Detail = "the connection ended within the head";
--- a/tests/endless_bytes_test.cpp
+++ b/tests/endless_bytes_test.cpp
@@ -207,7 +207,7 @@
   static constexpr int Clients = 30;
   static constexpr Millis RunTime = 4000;
   /// Half of the memory of the smallest machine that the pages name, in KiB.
-  static constexpr std::int64_t MaxPeakKib = 195 * 1024;
+  static constexpr std::int64_t MaxPeakKib = 195LL << 10;
 
   void startWithFaultyServers(int Count) {
     PlatformOptions Options;
--- a/tests/restored_store_test.cpp
+++ b/tests/restored_store_test.cpp
@@ -326,9 +326,11 @@
 // Guards against the same where no two processes are killed at one moment.
 TEST_P(RestoredStoreTest,
        usage_reportedThenKilledOneByOne_isNotReportedOtherwise) {
+  constexpr Millis KillingTime = 1500;
   int Next = 0;
   restoreAfterReport([this, &Next](Millis Elapsed) {
-    while (Next < Group_->size() && Elapsed * Group_->size() >= Next * 1500)
+    while (Next < Group_->size() &&
+           Elapsed * Group_->size() >= Next * KillingTime)
       Group_->killProcess(Next++, 300);
   });
   expectUsageReportedOnceAfterRestore();
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -3,6 +3,7 @@
 #include "releasenote.h"
 #include "settings.h"
 
+#include <fmt/format.h>
 #include <fstream>
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
@@ -113,7 +114,7 @@
   for (const std::size_t Length : {1, 41, 49, 199, 200, 256, 16000}) {
     const std::string Long(Length, 'x');
     const auto Parsed =
-        parseIni("[account " + Long + "]\nkey = " + Long + "\n", "a.ini");
+        parseIni(fmt::format("[account {0}]\nkey = {0}\n", Long), "a.ini");
     ASSERT_TRUE(Parsed) << Length;
     ASSERT_EQ(Parsed->size(), 1U) << Length;
     EXPECT_EQ(Parsed->front().Name_, Long);
