--- a/tests/upstream_test.cpp
+++ b/tests/upstream_test.cpp
@@ -357,6 +357,16 @@
   EXPECT_EQ(std::get<ServiceAnswer>(Last).Body_, "all of it");
 }
 
+// Guards against a part of an answer that is lost between two turns of reading.
+TEST_F(ClosedAnswerTest, answer_ofSeveralTurns_isWhole) {
+  std::string Body;
+  while (Body.size() < 900000)
+    Body += std::to_string(Body.size()) + ",";
+  const EventBody Last = lastEvent(Body, false);
+  ASSERT_TRUE(std::holds_alternative<ServiceAnswer>(Last));
+  EXPECT_TRUE(std::get<ServiceAnswer>(Last).Body_ == Body);
+}
+
 TEST_F(ClosedAnswerTest, stream_endsAfterAnEvent_isComplete) {
   EXPECT_TRUE(std::holds_alternative<AttemptEnded>(
       lastEvent("id: 1\ndata: a\n\n", true)));
