--- a/tests/endless_bytes_test.cpp
+++ b/tests/endless_bytes_test.cpp
@@ -280,7 +280,7 @@
     }
   }
 
-  std::string Seen_; ///< What was measured.
+  std::string Seen_; ///< Requests served, bytes sent and peaks, as text.
   std::vector<std::unique_ptr<EndlessServer>> Faulty_;
   std::atomic<int> Sent_ = 0;
   std::atomic<int> Served_ = 0;
