--- a/review/rig2.py
+++ b/review/rig2.py
@@ -173,6 +173,7 @@
                                                deadline - time.monotonic())
                     except (asyncio.TimeoutError, ValueError):
                         break
+                records = self.topic(args.get("topic", ""))
             records = self.topic(args.get("topic", ""))
             if start > len(records):
                 return json_answer(410, {"first": 0}, self.headers())
@@ -400,10 +401,13 @@
             for k in range(count):
                 server = Server(self, "i-%s-%d" % (service, k), service, slots)
                 self.servers.append(server)
-                await server.start()
+                await self.start_server(server)
         for i in range(self.entry_count):
             await self.start_entry(i)
 
+    async def start_server(self, server):
+        await server.start()
+
     async def ready(self, i, timeout=10.0):
         deadline = time.monotonic() + timeout
         while time.monotonic() < deadline:
@@ -454,3 +458,120 @@
     if body or method == "POST":
         text += "Content-Length: %d\r\n" % len(body)
     return text.encode() + b"\r\n" + body
+
+
+class Path:
+    """The path from one machine to one server: a proxy that can be cut.
+
+    Modes: `open`; `reset`: a connection that is made is reset, and so are
+    those that there are; `refuse`: those that there are are reset, and new
+    ones are refused; `hang`: nothing passes any more.
+    """
+
+    def __init__(self, server):
+        self.server = server
+        self.mode = "open"
+        self.writers = set()
+
+    async def start(self):
+        self.port = free_port("127.0.0.1")
+        await self.listen()
+
+    async def listen(self):
+        self.listener = await asyncio.start_server(self.serve, "127.0.0.1",
+                                                   self.port)
+
+    async def set_mode(self, mode):
+        if self.mode == "refuse" and mode != "refuse":
+            await self.listen()
+        self.mode = mode
+        if mode == "refuse":
+            self.listener.close()
+        if mode in ("refuse", "reset"):
+            for writer in list(self.writers):
+                writer.transport.abort()
+
+    async def serve(self, reader, writer):
+        if self.mode == "reset":
+            writer.transport.abort()
+            return
+        try:
+            to_reader, to_writer = await asyncio.open_connection(
+                "127.0.0.1", self.server.port)
+        except OSError:
+            writer.transport.abort()
+            return
+        self.writers.update((writer, to_writer))
+
+        async def pump(source, target):
+            try:
+                while True:
+                    data = await source.read(65536)
+                    while self.mode == "hang":
+                        await asyncio.sleep(0.05)
+                    if not data:
+                        break
+                    target.write(data)
+                    await target.drain()
+                if target.can_write_eof():
+                    target.write_eof()
+            except OSError:
+                target.transport.abort()
+
+        await asyncio.gather(pump(reader, to_writer), pump(to_reader, writer))
+        self.writers.difference_update((writer, to_writer))
+        writer.close()
+        to_writer.close()
+
+
+class StoreOfMachine(Store):
+    """The store as one machine sees it: each server's address is that of the
+    path from this machine to it. All else is that of the one store."""
+
+    def __init__(self, rig, machine):
+        super().__init__(rig, free_port("127.0.0.1"))
+        self.machine = machine
+
+    def topic(self, name):
+        records = self.rig.store.topic(name)
+        self.changed = self.rig.store.changed
+        if name != "keyed.servers":
+            return records
+        changed = []
+        for key, value in records:
+            path = self.rig.paths.get((self.machine, key.decode()))
+            if value and path:
+                entry = json.loads(value)
+                entry["address"] = "127.0.0.1:%d" % path.port
+                value = json.dumps(entry).encode()
+            changed.append((key, value))
+        return changed
+
+
+class CutRig(Rig):
+    """A rig in which the paths from machines to servers can be cut."""
+
+    async def start(self, services, routes, tenants, extra=None):
+        self.paths = {}
+        self.views = [StoreOfMachine(self, i) for i in range(self.entry_count)]
+        for view in self.views:
+            await view.start()
+        await super().start(services, routes, tenants, extra)
+
+    async def start_server(self, server):
+        for i in range(self.entry_count):
+            path = Path(server)
+            await path.start()
+            self.paths[(i, server.name)] = path
+        await server.start()
+
+    def fields(self, i):
+        fields = super().fields(i)
+        fields["platform"] = {"address": "127.0.0.1:%d" % self.views[i].port}
+        return fields
+
+    async def cut(self, machines, mode):
+        self.record.line("machines %s to all servers: %s" % (machines, mode))
+        for (machine, _), path in self.paths.items():
+            if machine in machines:
+                await path.set_mode(mode)
