An answer whose first field line is folded ends no process

What callers saw: one upstream that sends a head whose first line after the status line begins with a blank ends each process that reads it (SIGSEGV or abort); no caller behind these processes is served any more.

Cause: libcurl 7.88.1 adds a folded line to the header before it. After curl_easy_reset a handle still points at a header of its last transfer, which is freed: bytes of an upstream were written into freed memory. A fresh handle refuses the line (CURLE_BAD_FUNCTION_ARGUMENT).

Change: each transfer has a handle of its own. Connections are the multi handle's and are reused as before. Nothing of one transfer reaches the next: status, content type and headers of an earlier answer went with the same handle. The error counts as a malformed answer: as a broken connection it made the request a suspect that ends upstreams, and blocked it.

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -19,7 +19,6 @@
 // so the limit is below that.
 constexpr long ConnectTimeoutMs = 400;
 constexpr long MaxIdleConnections = 512;
-constexpr std::size_t MaxIdleHandles = 128;
 constexpr std::string_view NotRunHeaderPrefix = "x-not-run:";
 // Time after which unacknowledged data breaks a connection (TCP_USER_TIMEOUT).
 constexpr int OutgoingTcpUserTimeoutMs = 3000;
@@ -46,7 +45,9 @@
       Code == CURLE_OUT_OF_MEMORY || Code == TooLargeCode;
   const bool IsNoAnswer =
       Code == CURLE_UNSUPPORTED_PROTOCOL || Code == CURLE_WEIRD_SERVER_REPLY;
-  return IsHeadTooLong || (IsNoAnswer && IsNewConnection);
+  // A folded line without a field before it.
+  const bool IsBadFold = Code == CURLE_BAD_FUNCTION_ARGUMENT;
+  return IsHeadTooLong || IsBadFold || (IsNoAnswer && IsNewConnection);
 }
 
 /// @return true if a transfer has opened its connection itself
@@ -147,8 +148,6 @@
     curl_easy_cleanup(T->Easy_);
     curl_slist_free_all(T->RequestHeaders_);
   }
-  for (CURL *Easy : IdleHandles_)
-    curl_easy_cleanup(Easy);
   curl_multi_cleanup(Multi_);
   for (auto &[Socket, Watch] : Watches_)
     Watch->Descriptor_.release();
@@ -165,13 +164,9 @@
   T.OnDone_ = std::move(Done);
   T.OnHead_ = std::move(Head);
   T.StartedAt_ = T.LastByteAt_ = monotonicNow();
-  if (IdleHandles_.empty()) {
-    T.Easy_ = curl_easy_init();
-  } else {
-    T.Easy_ = IdleHandles_.back();
-    IdleHandles_.pop_back();
-    curl_easy_reset(T.Easy_);
-  }
+  // Not reused: curl_easy_reset keeps a pointer to a freed header of the last
+  // transfer, which libcurl 7.88.1 extends by a folded first line of the next.
+  T.Easy_ = curl_easy_init();
   CURL *E = T.Easy_;
   curl_easy_setopt(E, CURLOPT_URL, T.Request_.Url_.c_str());
   curl_easy_setopt(E, CURLOPT_NOSIGNAL, 1L);
@@ -462,10 +457,7 @@
     Result.ContentType_ = ContentType;
   curl_multi_remove_handle(Multi_, T.Easy_);
   TransferByHandle_.erase(T.Easy_);
-  if (IdleHandles_.size() < MaxIdleHandles)
-    IdleHandles_.push_back(T.Easy_);
-  else
-    curl_easy_cleanup(T.Easy_);
+  curl_easy_cleanup(T.Easy_);
   curl_slist_free_all(T.RequestHeaders_);
   const ResultSink Done = std::move(T.OnDone_);
   Transfers_.erase(T.Id_);
--- a/src/client.h
+++ b/src/client.h
@@ -134,7 +134,6 @@
   std::map<std::uint64_t, std::unique_ptr<Transfer>> Transfers_;
   std::unordered_map<CURL *, Transfer *> TransferByHandle_;
   std::map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches_;
-  std::vector<CURL *> IdleHandles_; ///< Handles for reuse.
   std::uint64_t NextId_ = 1;
 };
 
--- /dev/null
+++ b/tests/broken_answers_test.cpp
@@ -0,0 +1,169 @@
+// Upstreams whose answers are broken: what callers of real entry processes
+// read, byte by byte, and that no process ends.
+#include "platformcluster.h"
+#include "scriptedserver.h"
+
+#include <asio/read.hpp>
+#include <asio/write.hpp>
+#include <fmt/format.h>
+#include <sys/socket.h>
+
+namespace endivewharf::harness {
+
+namespace {
+
+/// What a caller reads until its connection ends.
+struct RawAnswer {
+  int Status_ = 0; ///< 0: no answer.
+  std::string Head_;
+  std::string Body_; ///< With the framing of its chunks, if it has any.
+};
+
+RawAnswer splitAnswer(const std::string &Bytes) {
+  RawAnswer Answer;
+  const auto End = Bytes.find("\r\n\r\n");
+  Answer.Head_ = Bytes.substr(0, End);
+  if (End != std::string::npos)
+    Answer.Body_ = Bytes.substr(End + 4);
+  if (Bytes.rfind("HTTP/1.1 ", 0) == 0)
+    Answer.Status_ = std::stoi(Bytes.substr(9));
+  return Answer;
+}
+
+/// A route of the cluster's configuration.
+struct RouteCase {
+  const char *Name_;
+  const char *Method_;
+  const char *Path_;
+};
+
+constexpr std::array Routes = {RouteCase{"idempotent", "GET", "/check/"},
+                               RouteCase{"once", "POST", "/book/"},
+                               RouteCase{"stream", "GET", "/stream/"}};
+
+class BrokenAnswersTest : public ::testing::Test, protected PlatformCluster {
+protected:
+  /// A process avoids an upstream for longer with each broken answer in a row,
+  /// so there are many.
+  static constexpr int ServerCount = 16;
+  static constexpr int MaxTries = 200;
+
+  /// Starts two entry processes whose upstreams are scripted servers alone.
+  void SetUp() override {
+    PlatformOptions Options;
+    Options.FolderName_ =
+        std::string("broken-") +
+        ::testing::UnitTest::GetInstance()->current_test_info()->name();
+    ASSERT_TRUE(startAll(Options)) << "logs are in " << Folder_;
+    for (int I = 0; I < ServerCount; ++I) {
+      Servers_.push_back(std::make_unique<ScriptedServer>());
+      putRecord("keyed.servers", fmt::format("f{}", I),
+                {{"service", "orders"},
+                 {"address", fmt::format("127.0.0.1:{}", Servers_[I]->port())},
+                 {"zone", "z0"},
+                 {"version", "v1"},
+                 {"slots", 6},
+                 {"state", "ready"},
+                 {"born", 1}});
+    }
+    for (const char *Sound : {"s0", "s1"})
+      putRecord("keyed.servers", Sound, {{"service", "none"}});
+    setAnswers(markedAnswer("HTTP/1.1 200 OK", "", "sound"));
+    for (int Entry = 0; Entry < 2; ++Entry)
+      ASSERT_TRUE(waitUntil([&] {
+        return sendGet(Entry, "/check/1", nextId()).Body_ == "sound";
+      })) << "logs are in "
+          << Folder_;
+  }
+
+  void setAnswers(const std::string &Answer,
+                  AfterAnswer After = AfterAnswer::Close) {
+    for (const auto &Server : Servers_)
+      Server->setAnswer(Answer, After);
+  }
+
+  std::string nextId() { return fmt::format("b{}", ++LastId_); }
+
+  /// Sends a request and reads until the process closes the connection.
+  RawAnswer exchange(int Port, const RouteCase &Route, const std::string &Id,
+                     const std::vector<std::string> &ExtraFields = {}) {
+    asio::io_context Io;
+    asio::ip::tcp::socket Socket(Io);
+    asio::error_code Error;
+    Socket.connect({asio::ip::make_address_v4("127.0.0.1"),
+                    static_cast<std::uint16_t>(Port)},
+                   Error);
+    if (Error)
+      return {};
+    const timeval Limit{20, 0};
+    setsockopt(Socket.native_handle(), SOL_SOCKET, SO_RCVTIMEO, &Limit,
+               sizeof(Limit));
+    std::string Request = fmt::format("{} {} HTTP/1.1\r\nConnection: close\r\n",
+                                      Route.Method_, Route.Path_);
+    for (const std::string &Field : requestHeaders(Id, "k1"))
+      Request += Field + "\r\n";
+    for (const std::string &Field : ExtraFields)
+      Request += Field + "\r\n";
+    if (std::string_view(Route.Method_) == "POST")
+      Request += "Content-Length: 0\r\n";
+    asio::write(Socket, asio::buffer(Request + "\r\n"), Error);
+    std::string Bytes;
+    asio::read(Socket, asio::dynamic_buffer(Bytes), Error);
+    return splitAnswer(Bytes);
+  }
+
+  /// Sends requests until a server has read one; a process that avoids all of
+  /// them refuses some before.
+  RawAnswer exchangeWithServer(int Port, const RouteCase &Route,
+                               const std::vector<std::string> &Extra = {}) {
+    for (int Try = 0; Try < MaxTries && processesRun(); ++Try) {
+      const std::string Id = nextId();
+      RawAnswer Answer = exchange(Port, Route, Id, Extra);
+      for (const auto &Server : Servers_)
+        if (Server->hasRead(Id))
+          return Answer;
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    }
+    ADD_FAILURE() << "no server has read a request of " << Route.Name_;
+    return {};
+  }
+
+  bool processesRun() {
+    return !entryProcess(0).exitStatus() && !entryProcess(1).exitStatus();
+  }
+
+  /// Expects that no caller gets anything of an answer but the word that it
+  /// failed and may have run.
+  void expectRefused(const std::string &Answer,
+                     AfterAnswer After = AfterAnswer::Close) {
+    setAnswers(Answer, After);
+    for (const RouteCase &Route : Routes) {
+      const RawAnswer Got =
+          exchangeWithServer(EntryPorts_[LastId_ % 2].CallerPort_, Route);
+      EXPECT_EQ(Got.Status_, 502) << Route.Name_ << "\n" << Answer << Got.Head_;
+      EXPECT_EQ(Got.Head_.find("Server-Seal"), std::string::npos) << Got.Head_;
+    }
+  }
+
+  std::vector<std::unique_ptr<ScriptedServer>> Servers_;
+  int LastId_ = 0;
+};
+
+} // namespace
+
+// Guards against bytes of an answer that are written into memory of an earlier
+// transfer: a folded line is added to the field before it, and there is none.
+TEST_F(BrokenAnswersTest, firstFieldLine_beginsWithABlank_processesGoOn) {
+  for (const char *Line : {" folded: line\r\n", "\tfolded\r\n", " \r\n"})
+    for (const char *Before : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"})
+      expectRefused(std::string(Before) + "HTTP/1.1 200 OK\r\n" + Line +
+                    "Request-Id: {id}\r\nServer-Seal: s\r\n"
+                    "Content-Length: 2\r\n\r\nok");
+  ASSERT_TRUE(processesRun()) << "one has ended, logs are in " << Folder_;
+  setAnswers(markedAnswer("HTTP/1.1 200 OK", "", "sound"));
+  for (int Entry = 0; Entry < 2; ++Entry)
+    EXPECT_TRUE(waitUntil(
+        [&] { return sendGet(Entry, "/check/1", nextId()).Status_ == 200; }));
+}
+
+} // namespace endivewharf::harness
