An answer with a status outside of 100 to 599 is no answer

What callers saw: the answer of an upstream with status 600 to 999 was passed on as it was; one of 101, which nobody asked for, or with the version HTTP/2 on a connection of HTTP/1.1 was read as if it were proper. 000 to 099 did not reach callers: libcurl 7.88.1 refuses them itself as an unsupported protocol, before any of our code sees them.

Cause: libcurl reads any three digits from 100 on as a status, and nothing behind it asked whether the code is one. There is no option that makes it ask.

Change: src/answerhead checks the lines of a head as libcurl hands them on, at the one place through which every reader of answers goes (HttpClient::onHeader). It refuses what libcurl 7.88.1 refuses as well, as another version may not. A body without a whole head before it is refused too. The transfer ends as Malformed, its connection is closed, the attempt fails as a protocol error with the reason in the log line of the request, and protocol_errors counts it. Before a status line, bytes on a used connection still count as left over. Status, type and fields of a result come from the head that was checked, not from what the handle last saw. A head may have as many fields as fit into its 64 KiB: beyond 200 they were dropped without a word.

--- /dev/null
+++ b/src/answerhead.cpp
@@ -0,0 +1,113 @@
+// Checks of status lines, fields and lengths.
+#include "answerhead.h"
+
+#include <algorithm>
+#include <charconv>
+
+namespace endivewharf {
+
+namespace {
+
+constexpr int FirstStatus = 100;
+constexpr int FirstFinalStatus = 200;
+constexpr int LastStatus = 599;
+constexpr int StatusSwitchingProtocols = 101;
+
+bool isBlank(char C) { return C == ' ' || C == '\t'; }
+
+bool isDigit(char C) { return C >= '0' && C <= '9'; }
+
+/// @return true for a character of a value or a reason (RFC 9110, 5.5); bytes
+///   above 0x7f are opaque
+bool isValueCharacter(char C) {
+  const auto Byte = static_cast<unsigned char>(C);
+  return C == '\t' || (Byte >= 0x20 && Byte != 0x7f);
+}
+
+bool isValue(std::string_view Text) {
+  return std::all_of(Text.begin(), Text.end(), isValueCharacter);
+}
+
+std::string_view withoutBlanks(std::string_view Text) {
+  while (!Text.empty() && isBlank(Text.front()))
+    Text.remove_prefix(1);
+  while (!Text.empty() && isBlank(Text.back()))
+    Text.remove_suffix(1);
+  return Text;
+}
+
+/// @return digits as a number; nothing for other text or more than 63 bits
+std::optional<std::int64_t> parseLength(std::string_view Text) {
+  std::int64_t Length = 0;
+  if (Text.empty() || !std::all_of(Text.begin(), Text.end(), isDigit))
+    return std::nullopt;
+  const auto Result =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Length);
+  return Result.ec == std::errc() ? std::optional(Length) : std::nullopt;
+}
+
+} // namespace
+
+std::string_view describe(HeadFault Fault) {
+  switch (Fault) {
+  case HeadFault::StatusLine:
+    break;
+  case HeadFault::Status:
+    return "status code out of range";
+  }
+  return "malformed status line";
+}
+
+std::optional<HeadFault> AnswerHead::addLine(std::string_view Line) {
+  if (Line.empty() || Line.back() != '\n')
+    return std::nullopt;
+  Line.remove_suffix(1);
+  if (!Line.empty() && Line.back() == '\r')
+    Line.remove_suffix(1);
+  if (Phase_ == Phase::StatusLine)
+    return addStatusLine(Line);
+  if (!Line.empty())
+    addField(Line);
+  else if (Phase_ == Phase::Fields)
+    endHead();
+  return std::nullopt;
+}
+
+std::optional<HeadFault> AnswerHead::addStatusLine(std::string_view Line) {
+  constexpr std::string_view Prefix = "HTTP/1.";
+  constexpr std::size_t StatusAt = 9; // behind the version and a blank
+  constexpr std::size_t StatusDigits = 3;
+  const auto IsVersion = [&] {
+    const char Minor = Line[Prefix.size()];
+    return Line.substr(0, Prefix.size()) == Prefix &&
+           (Minor == '0' || Minor == '1') && isBlank(Line[StatusAt - 1]);
+  };
+  if (Line.size() < StatusAt + StatusDigits || !IsVersion())
+    return HeadFault::StatusLine;
+  const std::string_view Digits = Line.substr(StatusAt, StatusDigits);
+  const std::string_view Reason = Line.substr(StatusAt + StatusDigits);
+  const auto Status = parseLength(Digits);
+  if (!Status || (!Reason.empty() && !isBlank(Reason.front())) ||
+      !isValue(Reason))
+    return HeadFault::StatusLine;
+  if (*Status < FirstStatus || *Status > LastStatus ||
+      *Status == StatusSwitchingProtocols)
+    return HeadFault::Status;
+  Status_ = static_cast<int>(*Status);
+  Fields_.clear();
+  Phase_ = Phase::Fields;
+  return std::nullopt;
+}
+
+void AnswerHead::addField(std::string_view Line) {
+  const auto Colon = Line.find(':');
+  if (Colon != std::string_view::npos)
+    Fields_.push_back({std::string(Line.substr(0, Colon)),
+                       std::string(withoutBlanks(Line.substr(Colon + 1)))});
+}
+
+void AnswerHead::endHead() {
+  Phase_ = Status_ < FirstFinalStatus ? Phase::StatusLine : Phase::Trailers;
+}
+
+} // namespace endivewharf
--- /dev/null
+++ b/src/answerhead.h
@@ -0,0 +1,55 @@
+// The head of an HTTP/1 answer, line by line as libcurl hands it on. libcurl
+// splits lines and finds the end of the body; it lets through status lines that
+// RFC 9110 and RFC 9112 do not allow.
+// Independent of libcurl.
+#pragma once
+
+#include "types.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace endivewharf {
+
+/// Why an answer's head is malformed.
+enum class HeadFault {
+  StatusLine, ///< Not a status line of HTTP/1.0 or HTTP/1.1.
+  Status,     ///< No status code from 100 to 599, or an unasked 101.
+};
+
+/// @return reason for logs
+std::string_view describe(HeadFault Fault);
+
+/// Checks the lines of one answer: interim heads, the final head and trailers.
+class AnswerHead {
+public:
+  /// Takes the next line. A line without line feed is one within which the
+  /// connection has ended; it is ignored.
+  /// @param Line with its line ending
+  /// @return the fault that the answer has, if any
+  std::optional<HeadFault> addLine(std::string_view Line);
+
+  /// @return true after the empty line that ends the final head
+  bool isComplete() const { return Phase_ == Phase::Trailers; }
+  /// @return true after the first status line
+  bool hasBegun() const { return Status_ != 0; }
+  /// @return status code of the last status line; 0: none came
+  int status() const { return Status_; }
+  /// @return fields of the final head, or of the last head that has begun
+  const Headers &fields() const { return Fields_; }
+
+private:
+  enum class Phase { StatusLine, Fields, Trailers };
+
+  std::optional<HeadFault> addStatusLine(std::string_view Line);
+  void addField(std::string_view Line);
+  void endHead();
+
+  Phase Phase_ = Phase::StatusLine;
+  int Status_ = 0;
+  Headers Fields_;
+};
+
+} // namespace endivewharf
--- a/src/attempts.cpp
+++ b/src/attempts.cpp
@@ -47,6 +47,7 @@
     return AttemptFailure::NotSent;
   case TransferEnd::TimedOut:
     return AttemptFailure::TimedOut;
+  case TransferEnd::Malformed:
   case TransferEnd::Stopped:
     return AttemptFailure::ProtocolError;
   case TransferEnd::Complete:
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -2,13 +2,17 @@
 // each transfer independently of the state of its connection.
 #include "client.h"
 
+#include "answerhead.h"
+
 #include <algorithm>
 #include <chrono>
 #include <cstring>
 #include <ctime>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <optional>
 #include <sys/ioctl.h>
+#include <utility>
 
 namespace endivewharf {
 
@@ -19,11 +23,10 @@
 // so the limit is below that.
 constexpr long ConnectTimeoutMs = 400;
 constexpr long MaxIdleConnections = 512;
-constexpr std::string_view NotRunHeaderPrefix = "x-not-run:";
+constexpr std::string_view NotRunHeader = "X-Not-Run";
+constexpr std::string_view ContentTypeHeader = "Content-Type";
 // Time after which unacknowledged data breaks a connection (TCP_USER_TIMEOUT).
 constexpr int OutgoingTcpUserTimeoutMs = 3000;
-// Headers of an answer beyond this number are dropped.
-constexpr std::size_t MaxAnswerHeaders = 200;
 // Limit for all header lines of an answer, with interim heads and trailers.
 constexpr std::size_t MaxHeadBytes = 64 << 10;
 constexpr Millis MsPerSecond = 1000;
@@ -38,16 +41,21 @@
 // CURLE_TOO_LARGE, which older versions of libcurl do not define.
 constexpr auto TooLargeCode = static_cast<CURLcode>(100);
 
-/// @return true if a transfer failed because of the bytes that came. On a
-///   connection used before they may be left over from the answer before.
-bool isMalformedAnswer(CURLcode Code, bool IsNewConnection) {
-  const bool IsHeadTooLong =
-      Code == CURLE_OUT_OF_MEMORY || Code == TooLargeCode;
-  const bool IsNoAnswer =
-      Code == CURLE_UNSUPPORTED_PROTOCOL || Code == CURLE_WEIRD_SERVER_REPLY;
-  // A folded line without a field before it.
-  const bool IsBadFold = Code == CURLE_BAD_FUNCTION_ARGUMENT;
-  return IsHeadTooLong || IsBadFold || (IsNoAnswer && IsNewConnection);
+/// @return true if a head was too long for libcurl
+bool isHeadTooLong(CURLcode Code) {
+  return Code == CURLE_OUT_OF_MEMORY || Code == TooLargeCode;
+}
+
+/// @return true if libcurl could not read the bytes that came
+bool isMalformedAnswer(CURL *Easy, CURLcode Code) {
+  // libcurl reports chunks that it can't read like an error of the socket.
+  long SocketError = 0;
+  curl_easy_getinfo(Easy, CURLINFO_OS_ERRNO, &SocketError);
+  return (Code == CURLE_RECV_ERROR && SocketError == 0) ||
+         Code == CURLE_UNSUPPORTED_PROTOCOL ||
+         Code == CURLE_WEIRD_SERVER_REPLY ||
+         Code == CURLE_BAD_CONTENT_ENCODING ||
+         Code == CURLE_BAD_FUNCTION_ARGUMENT; // A fold without a field.
 }
 
 /// @return true if a transfer has opened its connection itself
@@ -57,9 +65,14 @@
   return Opened > 0;
 }
 
-bool startsWithIgnoringCase(std::string_view Text, std::string_view Prefix) {
-  return Text.size() >= Prefix.size() &&
-         strncasecmp(Text.data(), Prefix.data(), Prefix.size()) == 0;
+/// @return the value of the first field with this name, or nothing
+std::optional<std::string_view> fieldValue(const Headers &Fields,
+                                           std::string_view Name) {
+  for (const Header &Field : Fields)
+    if (Field.Name_.size() == Name.size() &&
+        strncasecmp(Field.Name_.data(), Name.data(), Name.size()) == 0)
+      return Field.Value_;
+  return std::nullopt;
 }
 
 } // namespace
@@ -97,7 +110,8 @@
   BodySink OnBody_;
   ResultSink OnDone_; ///< Null after cancellation.
   HeadSink OnHead_;   ///< Null after its call.
-  Headers AnswerHeaders_;
+  AnswerHead Head_;
+  std::string_view Fault_; ///< Why the answer is malformed; empty: it is not.
   /// Size of all header lines, interim heads included.
   std::size_t HeadBytes_ = 0;
   /// Times that libcurl was about to write the request on a connection.
@@ -108,9 +122,7 @@
   Millis StartedAt_ = 0;
   Millis LastByteAt_ = 0;
   bool BodyStarted_ = false;
-  bool HeadComplete_ = false; ///< The empty line after the final head came.
-  bool Stopped_ = false;      ///< The body sink or the head limit stopped it.
-  bool NotRun_ = false;
+  bool Stopped_ = false; ///< The body sink or the head limit stopped it.
 };
 
 /// A socket of libcurl on the event loop. The descriptor is released, not
@@ -334,31 +346,15 @@
     T.Stopped_ = true;
     return 0;
   }
-  if (startsWithIgnoringCase(Line, NotRunHeaderPrefix))
-    T.NotRun_ = true;
-  if (startsWithIgnoringCase(Line, "HTTP/")) {
-    // A status line starts a new head; drop the headers of an interim answer.
-    T.AnswerHeaders_.clear();
-    return Line.size();
+  const bool WasComplete = T.Head_.isComplete();
+  if (const auto Fault = T.Head_.addLine(Line)) {
+    T.Fault_ = describe(*Fault);
+    return 0;
   }
-  const auto Colon = Line.find(':');
-  if (Colon != std::string_view::npos &&
-      T.AnswerHeaders_.size() < MaxAnswerHeaders)
-    T.AnswerHeaders_.push_back({std::string(Line.substr(0, Colon)),
-                                std::string(trimmed(Line.substr(Colon + 1)))});
-  if (!trimmed(Line).empty())
-    return Line.size();
-  long Status = 0;
-  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
-  if (Status < 200)
-    return Line.size();
-  T.HeadComplete_ = Line.back() == '\n';
-  if (!T.OnHead_ || !T.OnDone_)
+  if (WasComplete || !T.Head_.isComplete() || !T.OnHead_ || !T.OnDone_)
     return Line.size();
-  const HeadSink OnHead = std::move(T.OnHead_);
-  // Trailers arrive in this callback as well and must not call the sink again.
-  T.OnHead_ = nullptr;
-  if (OnHead(static_cast<int>(Status), T.AnswerHeaders_))
+  const HeadSink OnHead = std::exchange(T.OnHead_, nullptr);
+  if (OnHead(T.Head_.status(), T.Head_.fields()))
     return Line.size();
   T.Stopped_ = true;
   return 0;
@@ -403,14 +399,46 @@
   T.BodyStarted_ = true;
   if (!T.OnDone_)
     return Bytes; // Cancelled: discard the bytes until the handle is removed.
-  long Status = 0;
-  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
-  if (T.OnBody_(static_cast<int>(Status), {Data, Bytes}))
+  if (!T.Head_.isComplete()) {
+    T.Fault_ = "a body without a whole head";
+    return 0;
+  }
+  if (T.OnBody_(T.Head_.status(), {Data, Bytes}))
     return Bytes;
   T.Stopped_ = true;
   return 0;
 }
 
+TransferEnd HttpClient::endOf(const Transfer &T, CURLcode Code) {
+  if (!T.Fault_.empty())
+    return TransferEnd::Malformed;
+  // libcurl takes a connection that closes within the head for a whole answer.
+  if (Code == CURLE_OK && T.Head_.isComplete())
+    return TransferEnd::Complete;
+  if (T.Stopped_)
+    return TransferEnd::Stopped;
+  if (T.SendCount_ == 0)
+    return TransferEnd::NotSent;
+  if (isHeadTooLong(Code))
+    return TransferEnd::Stopped;
+  // Before a status line, the bytes on a connection that was used before may be
+  // left over from the answer before.
+  if (isMalformedAnswer(T.Easy_, Code) &&
+      (T.Head_.hasBegun() || usesNewConnection(T.Easy_)))
+    return TransferEnd::Malformed;
+  return TransferEnd::ConnectionBroken;
+}
+
+std::string HttpClient::detailOf(const Transfer &T, CURLcode Code) {
+  if (!T.Fault_.empty())
+    return "malformed answer: " + std::string(T.Fault_);
+  if (T.SendCount_ > 1)
+    return "the connection had ended without an answer";
+  if (Code != CURLE_OK)
+    return curl_easy_strerror(Code);
+  return T.Head_.isComplete() ? "" : "the connection ended within the head";
+}
+
 void HttpClient::finishCompletedTransfers() {
   int Remaining = 0;
   while (CURLMsg *Message = curl_multi_info_read(Multi_, &Remaining)) {
@@ -421,23 +449,7 @@
     if (Found == TransferByHandle_.end())
       continue;
     Transfer &T = *Found->second;
-    const bool Malformed =
-        T.SendCount_ > 0 && isMalformedAnswer(Code, usesNewConnection(T.Easy_));
-    TransferEnd End = TransferEnd::ConnectionBroken;
-    // libcurl takes a connection that closes within the head for a whole
-    // answer.
-    if (Code == CURLE_OK && T.HeadComplete_)
-      End = TransferEnd::Complete;
-    else if (T.Stopped_ || Malformed)
-      End = TransferEnd::Stopped;
-    else if (T.SendCount_ == 0)
-      End = TransferEnd::NotSent;
-    std::string Detail = Code == CURLE_OK ? "" : curl_easy_strerror(Code);
-    if (Code == CURLE_OK && !T.HeadComplete_)
-      Detail = "the connection ended within the head";
-    if (T.SendCount_ > 1)
-      Detail = "the connection had ended without an answer";
-    finishTransfer(T, End, std::move(Detail));
+    finishTransfer(T, endOf(T, Code), detailOf(T, Code));
   }
 }
 
@@ -446,15 +458,11 @@
   HttpResult Result;
   Result.End_ = End;
   Result.Detail_ = std::move(Detail);
-  Result.NotRun_ = T.NotRun_;
-  Result.Headers_ = std::move(T.AnswerHeaders_);
-  long Status = 0;
-  curl_easy_getinfo(T.Easy_, CURLINFO_RESPONSE_CODE, &Status);
-  Result.Status_ = static_cast<int>(Status);
-  const char *ContentType = nullptr;
-  curl_easy_getinfo(T.Easy_, CURLINFO_CONTENT_TYPE, &ContentType);
-  if (ContentType != nullptr)
-    Result.ContentType_ = ContentType;
+  Result.Status_ = T.Head_.status();
+  Result.Headers_ = T.Head_.fields();
+  Result.NotRun_ = fieldValue(Result.Headers_, NotRunHeader).has_value();
+  if (const auto Type = fieldValue(Result.Headers_, ContentTypeHeader))
+    Result.ContentType_ = *Type;
   curl_multi_remove_handle(Multi_, T.Easy_);
   TransferByHandle_.erase(T.Easy_);
   curl_easy_cleanup(T.Easy_);
--- a/src/client.h
+++ b/src/client.h
@@ -49,15 +49,14 @@
   NotSent, ///< No byte of the request was written.
   ConnectionBroken,
   TimedOut, ///< One of the request's timeouts passed.
-  /// Stopped by the body sink, a cancellation, an oversized head, or bytes
-  /// that are no answer.
-  Stopped
+  Malformed, ///< The bytes that came are no proper answer.
+  Stopped    ///< By the body sink, a cancellation or a limit on bytes.
 };
 
 /// Outcome of a transfer.
 struct HttpResult {
   TransferEnd End_ = TransferEnd::ConnectionBroken;
-  int Status_ = 0; ///< HTTP status; 0: no answer.
+  int Status_ = 0; ///< HTTP status; 0: no answer. Counts if it is complete.
   std::string ContentType_;
   std::string Detail_;  ///< Reason of a failure, for logs.
   bool NotRun_ = false; ///< `X-Not-Run` header: the call was not run.
@@ -123,6 +122,10 @@
   void waitForSocket(const std::shared_ptr<SocketWatch> &Watch, bool Write);
   void processSocketAction(curl_socket_t Socket, int Mask);
   void finishCompletedTransfers();
+  /// @param Code libcurl's result of a transfer
+  static TransferEnd endOf(const Transfer &T, CURLcode Code);
+  /// @return reason of a failure, for logs
+  static std::string detailOf(const Transfer &T, CURLcode Code);
   void finishTransfer(Transfer &T, TransferEnd End, std::string Detail);
   void expireTransfers();
   void scheduleTimeoutCheck();
--- a/src/outcomes.cpp
+++ b/src/outcomes.cpp
@@ -277,6 +277,8 @@
   const Attempt &A = Removed->Attempt_;
   Call &C = *Removed->Call_;
   incrementCounter(S, "attempts_failed");
+  if (E.Failure_ == AttemptFailure::ProtocolError)
+    incrementCounter(S, "protocol_errors");
   recordAttemptFailure(S, A.Upstream_, E.Failure_);
   recordNoContact(S, A, E.Failure_, Out);
   if (E.Failure_ == AttemptFailure::NotSent ||
--- /dev/null
+++ b/tests/answersamples.h
@@ -0,0 +1,69 @@
+// Answers of upstreams, broken and sound, for tests of everything that reads
+// answers.
+#pragma once
+
+#include "scriptedserver.h"
+
+#include <fmt/format.h>
+#include <string>
+#include <vector>
+
+namespace endivewharf::harness {
+
+/// One answer, and what its sender does after it.
+struct AnswerSample {
+  std::string Name_;
+  std::string Bytes_;
+  AfterAnswer After_ = AfterAnswer::KeepOpen;
+  /// libcurl finds no status line: on a connection that was used before, the
+  /// bytes may be left over from the answer before.
+  bool IsNoHead_ = false;
+};
+
+/// @return an answer of 200 with further field lines, and a body `ok`
+inline std::string okAnswer(const std::string &FieldLines) {
+  return markedAnswer("HTTP/1.1 200 OK", FieldLines, "ok");
+}
+
+/// @return status lines that are none, with a length, without, bare, and in
+///   front of a whole answer
+inline std::vector<AnswerSample> answersWithBrokenStatus() {
+  std::vector<AnswerSample> Samples;
+  const std::string Whole = okAnswer("Content-Length: 2\r\n");
+  // libcurl 7.88.1 refuses these itself, and codes below 100 and HTTP/3; all
+  // others are for AnswerHead to refuse, which knows all of them.
+  for (const char *Status :
+       {"20", "2000", "2x0", "+20", "-20", "", "2", " 200", "2 00"}) {
+    const std::string Line = std::string("HTTP/1.1 ") + Status + " OK";
+    Samples.push_back({Line, markedAnswer(Line, "Content-Length: 2\r\n", "ok"),
+                       AfterAnswer::KeepOpen, true});
+  }
+  for (const char *Line : {"HTTP/1.2 200 OK", "HTTP/4 200 OK", "ICY 200 OK"})
+    Samples.push_back({Line, markedAnswer(Line, "Content-Length: 2\r\n", "ok"),
+                       AfterAnswer::Close, true});
+  for (const std::string Status :
+       {"000", "001", "099", "101", "600", "700", "999"}) {
+    const std::string Line = fmt::format("HTTP/1.1 {} X", Status);
+    const std::string Name = Line + ", ";
+    const bool IsNoHead = Status[0] == '0';
+    Samples.push_back({Name + "length",
+                       markedAnswer(Line, "Content-Length: 2\r\n", "ok"),
+                       AfterAnswer::KeepOpen, IsNoHead});
+    Samples.push_back({Name + "no length", markedAnswer(Line, "", "ok"),
+                       AfterAnswer::Close, IsNoHead});
+    Samples.push_back(
+        {Name + "bare", Line + "\r\n\r\n", AfterAnswer::Close, IsNoHead});
+    Samples.push_back(
+        {Name + "a whole answer behind it",
+         fmt::format("{}\r\nContent-Length: 0\r\n\r\n{}", Line, Whole),
+         AfterAnswer::KeepOpen, IsNoHead});
+  }
+  for (const std::string Version : {"2", "3"})
+    Samples.push_back({fmt::format("HTTP/{}", Version),
+                       markedAnswer(fmt::format("HTTP/{} 200 OK", Version),
+                                    "Content-Length: 2\r\n", "ok"),
+                       AfterAnswer::Close, Version == "3"});
+  return Samples;
+}
+
+} // namespace endivewharf::harness
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -1,11 +1,13 @@
 // Upstreams whose answers are broken: what callers of real entry processes
 // read, byte by byte, and that no process ends.
+#include "answersamples.h"
 #include "platformcluster.h"
-#include "scriptedserver.h"
 
+#include <algorithm>
 #include <asio/read.hpp>
 #include <asio/write.hpp>
 #include <fmt/format.h>
+#include <fstream>
 #include <sys/socket.h>
 
 namespace endivewharf::harness {
@@ -85,8 +87,10 @@
   std::string nextId() { return fmt::format("b{}", ++LastId_); }
 
   /// Sends a request and reads until the process closes the connection.
+  /// @param BodyBytes size of the body of a POST request
   RawAnswer exchange(int Port, const RouteCase &Route, const std::string &Id,
-                     const std::vector<std::string> &ExtraFields = {}) {
+                     const std::vector<std::string> &ExtraFields = {},
+                     std::size_t BodyBytes = 0) {
     asio::io_context Io;
     asio::ip::tcp::socket Socket(Io);
     asio::error_code Error;
@@ -105,8 +109,9 @@
     for (const std::string &Field : ExtraFields)
       Request += Field + "\r\n";
     if (std::string_view(Route.Method_) == "POST")
-      Request += "Content-Length: 0\r\n";
-    asio::write(Socket, asio::buffer(Request + "\r\n"), Error);
+      Request += fmt::format("Content-Length: {}\r\n", BodyBytes);
+    Request += "\r\n" + std::string(BodyBytes, 'x');
+    asio::write(Socket, asio::buffer(Request), Error);
     std::string Bytes;
     asio::read(Socket, asio::dynamic_buffer(Bytes), Error);
     return splitAnswer(Bytes);
@@ -119,15 +124,20 @@
     for (int Try = 0; Try < MaxTries && processesRun(); ++Try) {
       const std::string Id = nextId();
       RawAnswer Answer = exchange(Port, Route, Id, Extra);
-      for (const auto &Server : Servers_)
-        if (Server->hasRead(Id))
-          return Answer;
+      if (hasAnyRead(Id))
+        return Answer;
       std::this_thread::sleep_for(std::chrono::milliseconds(100));
     }
     ADD_FAILURE() << "no server has read a request of " << Route.Name_;
     return {};
   }
 
+  /// @return true if a server has read a request with this id
+  bool hasAnyRead(const std::string &Id) const {
+    return std::any_of(Servers_.begin(), Servers_.end(),
+                       [&](const auto &Server) { return Server->hasRead(Id); });
+  }
+
   bool processesRun() {
     return !entryProcess(0).exitStatus() && !entryProcess(1).exitStatus();
   }
@@ -139,7 +149,7 @@
     setAnswers(Answer, After);
     for (const RouteCase &Route : Routes) {
       const RawAnswer Got =
-          exchangeWithServer(EntryPorts_[LastId_ % 2].CallerPort_, Route);
+          exchangeWithServer(EntryPorts_[++Turn_ % 2].CallerPort_, Route);
       EXPECT_EQ(Got.Status_, 502) << Route.Name_ << "\n" << Answer << Got.Head_;
       EXPECT_EQ(Got.Head_.find("Server-Seal"), std::string::npos) << Got.Head_;
     }
@@ -147,6 +157,7 @@
 
   std::vector<std::unique_ptr<ScriptedServer>> Servers_;
   int LastId_ = 0;
+  int Turn_ = 0; ///< Number of the last exchange, for the choice of a process.
 };
 
 } // namespace
@@ -166,4 +177,14 @@
         [&] { return sendGet(Entry, "/check/1", nextId()).Status_ == 200; }));
 }
 
+TEST_F(BrokenAnswersTest, status_isNone_callersGetAnError) {
+  for (const char *Status : {"000", "099", "101", "600", "999", "20"}) {
+    const std::string Line = std::string("HTTP/1.1 ") + Status + " X";
+    expectRefused(markedAnswer(Line, "Content-Length: 2\r\n", "ok"),
+                  AfterAnswer::KeepOpen);
+  }
+  expectRefused("HTTP/1.1 000 X\r\n\r\n" + okAnswer("Content-Length: 2\r\n"));
+  EXPECT_TRUE(processesRun());
+}
+
 } // namespace endivewharf::harness
--- /dev/null
+++ b/tests/malformed_answers_test.cpp
@@ -0,0 +1,220 @@
+// Tests of everything that reads answers, at stand-ins that send broken ones:
+// attempts of both interfaces, the store, the log, probes and control requests.
+#include "answersamples.h"
+#include "platform/upstream.h"
+
+#include <asio/io_context.hpp>
+#include <functional>
+#include <gtest/gtest.h>
+
+namespace endivewharf::harness {
+
+namespace {
+
+constexpr auto MaxRunTime = std::chrono::seconds(20);
+
+/// Runs one client at a time against a scripted server.
+class AnswerReaderTest : public ::testing::Test {
+protected:
+  /// Starts something and runs the event loop until its last event.
+  /// @param Start is given the HTTP client and the sink of events
+  /// @return the last event
+  EventBody
+  lastEvent(const std::function<void(HttpClient &, EventSink)> &Start) {
+    std::optional<EventBody> Last;
+    Start(Client_, [&](EventBody E) {
+      const bool IsProgress = std::holds_alternative<AttemptHead>(E) ||
+                              std::holds_alternative<AttemptToken>(E) ||
+                              std::holds_alternative<UpstreamNotice>(E);
+      Events_.push_back(E);
+      if (IsProgress)
+        return;
+      Last = std::move(E);
+      Io_.stop();
+    });
+    Io_.restart();
+    Io_.run_for(MaxRunTime);
+    return Last ? *Last : EventBody(CallerDisconnected{});
+  }
+
+  StartAttempt makeAttempt(bool Stream) {
+    StartAttempt Start;
+    Start.Attempt_ = ++LastAttempt_;
+    Start.Kind_ = CallKind::Routed;
+    Start.Address_ = Server_.url();
+    Start.RequestId_ = "r" + std::to_string(LastAttempt_);
+    Start.Headers_ = {{"Request-Id", Start.RequestId_}};
+    Start.Method_ = "POST";
+    Start.Path_ = "/";
+    Start.TimeLeft_ = 2000;
+    Start.MaxIdleTime_ = 15000;
+    Start.Stream_ = Stream;
+    return Start;
+  }
+
+  /// @return the last event of an attempt by the platform's protocol
+  /// @param Fresh on a connection of its own, which is not used again
+  EventBody attempt(bool Stream, bool Fresh = false, bool ToPeer = false) {
+    StartAttempt Start = makeAttempt(Stream);
+    Start.FreshConnection_ = Fresh;
+    if (ToPeer)
+      Start.Relay_ = RelayInfo{"entry-1", "sales", 1};
+    return lastEvent([&](HttpClient &Client, EventSink Sink) {
+      Upstreams_ = std::make_unique<platform::UpstreamClient>(
+          Client, std::move(Sink), 1 << 20);
+      Upstreams_->start(Start);
+    });
+  }
+
+  /// @return the last event of an attempt of this program's own interface
+  EventBody ownAttempt(CallKind Kind) {
+    StartAttempt Start = makeAttempt(false);
+    Start.Kind_ = Kind;
+    Start.FirstByteTimeout_ = 2000;
+    Start.Route_ = "chat";
+    return lastEvent([&](HttpClient &Client, EventSink Sink) {
+      Own_ = std::make_unique<AttemptRunner>(Client, std::move(Sink), 1 << 20);
+      Own_->start(Start);
+    });
+  }
+
+  /// Lets a connection be used once, so that the next request reuses it.
+  void useConnection() {
+    Server_.setAnswer(okAnswer("Content-Length: 2\r\n"), AfterAnswer::KeepOpen);
+    ASSERT_TRUE(std::holds_alternative<ServiceAnswer>(attempt(false)));
+  }
+
+  static std::string failureOf(const EventBody &Body) {
+    const auto *Failed = std::get_if<AttemptFailed>(&Body);
+    return Failed == nullptr ? "no failure"
+                             : std::string(name(Failed->Failure_));
+  }
+
+  static std::string detailOf(const EventBody &Body) {
+    const auto *Failed = std::get_if<AttemptFailed>(&Body);
+    return Failed == nullptr ? "" : Failed->Detail_;
+  }
+
+  /// Expects that an answer fails an attempt as malformed and that nothing of
+  /// it is passed on.
+  void expectMalformed(const AnswerSample &Sample, const EventBody &Last,
+                       bool MayBeLeftOver = false) {
+    const std::string Malformed(name(AttemptFailure::ProtocolError));
+    const std::string Broken(name(AttemptFailure::ConnectionBroken));
+    const std::string Failure = failureOf(Last);
+    EXPECT_TRUE(Failure == Malformed || (MayBeLeftOver && Failure == Broken))
+        << Sample.Name_ << ": " << Failure << " " << detailOf(Last);
+    EXPECT_FALSE(detailOf(Last).empty()) << Sample.Name_;
+    for (const EventBody &E : Events_) {
+      EXPECT_FALSE(std::holds_alternative<UpstreamNotice>(E)) << Sample.Name_;
+      EXPECT_FALSE(std::holds_alternative<ServiceAnswer>(E)) << Sample.Name_;
+      EXPECT_FALSE(std::holds_alternative<AttemptToken>(E)) << Sample.Name_;
+    }
+    Events_.clear();
+  }
+
+  /// Sends requests of all kinds to a server with a broken answer, on new
+  /// connections and on used ones, which must not be used again.
+  void expectMalformedEverywhere(const AnswerSample &Sample) {
+    for (const bool Stream : {false, true}) {
+      Server_.setAnswer(Sample.Bytes_, Sample.After_);
+      expectMalformed(Sample, attempt(Stream, true));
+      expectMalformed(Sample, attempt(Stream, true, true));
+      useConnection();
+      Events_.clear();
+      const int Connections = Server_.connections();
+      Server_.setAnswer(Sample.Bytes_, Sample.After_);
+      expectMalformed(Sample, attempt(Stream), Sample.IsNoHead_);
+      useConnection();
+      Events_.clear();
+      EXPECT_EQ(Server_.connections(), Connections + 1) << Sample.Name_;
+    }
+    Server_.setAnswer(Sample.Bytes_, Sample.After_);
+    for (const CallKind Kind : {CallKind::Completion, CallKind::Service})
+      expectMalformed(Sample, ownAttempt(Kind), true);
+  }
+
+  ScriptedServer Server_;
+  asio::io_context Io_{1};
+  HttpClient Client_{Io_};
+  std::unique_ptr<platform::UpstreamClient> Upstreams_;
+  std::unique_ptr<AttemptRunner> Own_;
+  std::vector<EventBody> Events_;
+  AttemptId LastAttempt_ = 0;
+};
+
+} // namespace
+
+// libcurl 7.88.1 refuses codes below 100 itself, as an unsupported protocol;
+// another version may not, which is why AnswerHead refuses them as well.
+TEST_F(AnswerReaderTest, status_isNone_failsTheAttempt) {
+  for (const AnswerSample &Sample : answersWithBrokenStatus())
+    expectMalformedEverywhere(Sample);
+}
+
+TEST_F(AnswerReaderTest, answer_soundAndOdd_isPassedOn) {
+  std::string ManyFields;
+  for (int I = 0; I < 1000; ++I)
+    ManyFields += "X-" + std::to_string(I) + ": y\r\n";
+  const std::string Length = "Content-Length: 2\r\n";
+  const std::string Chunked = "Transfer-Encoding: chunked\r\n";
+  const auto WithLine = [](const std::string &Line, const std::string &Fields,
+                           const std::string &Body) {
+    return markedAnswer("HTTP/1.1 " + Line, Fields, Body);
+  };
+  std::vector<AnswerSample> Samples = {
+      {"no length", okAnswer(""), AfterAnswer::Close},
+      {"HTTP/1.0", markedAnswer("HTTP/1.0 200 OK", "", "ok"),
+       AfterAnswer::Close},
+      {"empty reason", WithLine("200 ", Length, "ok")},
+      {"no reason", WithLine("200", Length, "ok")},
+      {"odd reason", WithLine("200 \xc3\xa4 (?)\t!", Length, "ok")},
+      {"line feeds alone", "HTTP/1.1 200 OK\nRequest-Id: {id}\nServer-Seal: "
+                           "s\nContent-Length: 2\n\nok"},
+      {"interim heads", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n"
+                        "Link: </a>\r\n\r\nHTTP/1.1 199 X\r\n\r\n" +
+                            okAnswer(Length)},
+      {"names of any case", "HTTP/1.1 200 OK\r\nrequest-ID: {id}\r\nSERVER-"
+                            "seal: s\r\ncontent-LENGTH:2\r\n\r\nok"},
+      {"odd names", okAnswer("!#$%&'*+-.^_`|~9: x\r\n" + Length)},
+      {"odd values",
+       okAnswer("A:\r\nB: \xff\x80\r\nC:\t a:b;\"c\"\t\r\n" + Length)},
+      {"folded value", okAnswer("A: one\r\n two: 2\r\n\tthree\r\n" + Length)},
+      {"equal lengths", okAnswer(Length + Length)},
+      {"list of equal lengths", okAnswer("Content-Length: 2, 2\r\n")},
+      {"many fields", okAnswer(ManyFields + Length)},
+      {"chunks", WithLine("200 OK", Chunked, "1\r\no\r\n1\r\nk\r\n0\r\n\r\n")},
+      {"chunk extensions and trailers",
+       WithLine("200 OK", Chunked,
+                "2;a=b;c=\"d\"\r\nok\r\n000;x\r\nX: y\r\n z\r\n\r\n")},
+  };
+  for (const AnswerSample &Sample : Samples) {
+    Server_.setAnswer(Sample.Bytes_, Sample.After_);
+    for (const bool Fresh : {false, true}) {
+      const EventBody Last = attempt(false, Fresh);
+      const auto *Answer = std::get_if<ServiceAnswer>(&Last);
+      ASSERT_TRUE(Answer != nullptr) << Sample.Name_ << detailOf(Last);
+      EXPECT_EQ(Answer->Status_, 200) << Sample.Name_;
+      EXPECT_EQ(Answer->Body_, "ok") << Sample.Name_;
+    }
+  }
+}
+
+TEST_F(AnswerReaderTest, answer_ofAnyStatus_isPassedOn) {
+  for (int Status = 200; Status <= 599; ++Status) {
+    if (Status == 421)
+      continue; // The platform's word for another host.
+    const bool HasBody = Status != 204 && Status != 304;
+    Server_.setAnswer(markedAnswer("HTTP/1.1 " + std::to_string(Status) + " X",
+                                   HasBody ? "Content-Length: 2\r\n" : "",
+                                   HasBody ? "ok" : ""),
+                      AfterAnswer::KeepOpen);
+    const EventBody Last = attempt(false);
+    const auto *Answer = std::get_if<ServiceAnswer>(&Last);
+    ASSERT_TRUE(Answer != nullptr) << Status << detailOf(Last);
+    EXPECT_EQ(Answer->Status_, Status);
+    EXPECT_EQ(Answer->Body_, HasBody ? "ok" : "");
+  }
+}
+
+} // namespace endivewharf::harness
--- a/tests/scriptedserver.cpp
+++ b/tests/scriptedserver.cpp
@@ -55,10 +55,17 @@
   return "http://127.0.0.1:" + std::to_string(Port_);
 }
 
-void ScriptedServer::setAnswer(std::string Answer, AfterAnswer After) {
+void ScriptedServer::setAnswer(std::string Answer, AfterAnswer After,
+                               AnswerTime Time) {
   const std::lock_guard Lock(Mutex_);
   Answer_ = std::move(Answer);
   After_ = After;
+  Time_ = Time;
+}
+
+AnswerTime ScriptedServer::answerTime() const {
+  const std::lock_guard Lock(Mutex_);
+  return Time_;
 }
 
 int ScriptedServer::connections() const {
@@ -97,7 +104,10 @@
         C->RequestId_ = fieldOf(Head, IdName);
         const std::string Length = fieldOf(Head, LengthName);
         C->BodyBytes_ = Length.empty() ? 0 : std::stoul(Length);
-        readRestOfBody(C);
+        if (answerTime() == AnswerTime::AfterHead)
+          answer(C);
+        else
+          readRestOfBody(C);
       });
 }
 
--- a/tests/scriptedserver.h
+++ b/tests/scriptedserver.h
@@ -20,6 +20,12 @@
   KeepOpen, ///< Answers the next request on it.
 };
 
+/// When a server answers.
+enum class AnswerTime {
+  AfterRequest,
+  AfterHead, ///< Without reading the request's body.
+};
+
 /// Text in an answer that stands for the id of the request it answers.
 constexpr std::string_view IdPlaceholder = "{id}";
 
@@ -34,7 +40,8 @@
   ScriptedServer &operator=(const ScriptedServer &) = delete;
 
   /// Sets the answer to all requests that are read from now on.
-  void setAnswer(std::string Answer, AfterAnswer After = AfterAnswer::Close);
+  void setAnswer(std::string Answer, AfterAnswer After = AfterAnswer::Close,
+                 AnswerTime Time = AnswerTime::AfterRequest);
 
   int port() const { return Port_; }
   /// @return `http://` and the address
@@ -47,14 +54,16 @@
 private:
   struct Connection;
 
+  AnswerTime answerTime() const;
   void accept();
   void readRequest(const std::shared_ptr<Connection> &C);
   void readRestOfBody(const std::shared_ptr<Connection> &C);
   void answer(const std::shared_ptr<Connection> &C);
 
-  mutable std::mutex Mutex_; ///< Guards the four members below.
+  mutable std::mutex Mutex_; ///< Guards the five members below.
   std::string Answer_;
   AfterAnswer After_;
+  AnswerTime Time_ = AnswerTime::AfterRequest;
   int Connections_ = 0;
   std::set<std::string> RequestIds_;
   asio::io_context Io_{1};
