An answer with a broken field name or value is no answer

What callers saw: the line of a field was passed on as it was, whatever its name or value held: blanks, control characters, bytes that no token has, an empty name, a blank before the colon. 'Content-Length : 1' became a length line that the caller's own reader may obey: a body that was not the upstream's. A folded line became a field of its own, or was lost. Behind an interim head with fields, a folded first line was passed on as well.

Cause: libcurl splits lines and asks only for a colon; onHeader took what stands before it for a name.

Change: AnswerHead takes tokens for names (RFC 9110, 5.6.2) and text without control characters for values (5.5; bytes above 0x7f are opaque), in interim heads and trailers as well, and joins folded lines to their field with a blank, as RFC 9112, 5.2 asks of proxies. Anything else fails the answer.

What callers of real processes get: BrokenAnswersTest. AnswerHeadTest has a seeded fuzz test.

--- a/src/answerhead.cpp
+++ b/src/answerhead.cpp
@@ -17,6 +17,13 @@
 
 bool isDigit(char C) { return C >= '0' && C <= '9'; }
 
+/// @return true for a character of a token (RFC 9110, 5.6.2)
+bool isTokenCharacter(char C) {
+  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  return isDigit(C) || (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         Others.find(C) != std::string_view::npos;
+}
+
 /// @return true for a character of a value or a reason (RFC 9110, 5.5); bytes
 ///   above 0x7f are opaque
 bool isValueCharacter(char C) {
@@ -51,11 +58,17 @@
 std::string_view describe(HeadFault Fault) {
   switch (Fault) {
   case HeadFault::StatusLine:
-    break;
+    return "malformed status line";
   case HeadFault::Status:
     return "status code out of range";
+  case HeadFault::FieldName:
+    return "malformed field name";
+  case HeadFault::FieldValue:
+    return "control character in a field value";
+  case HeadFault::FoldedLine:
+    break;
   }
-  return "malformed status line";
+  return "folded line that continues no field";
 }
 
 std::optional<HeadFault> AnswerHead::addLine(std::string_view Line) {
@@ -66,11 +79,9 @@
     Line.remove_suffix(1);
   if (Phase_ == Phase::StatusLine)
     return addStatusLine(Line);
-  if (!Line.empty())
-    addField(Line);
-  else if (Phase_ == Phase::Fields)
-    endHead();
-  return std::nullopt;
+  if (Line.empty())
+    return Phase_ == Phase::Fields ? endHead() : std::nullopt;
+  return isBlank(Line.front()) ? addFoldedLine(Line) : addField(Line);
 }
 
 std::optional<HeadFault> AnswerHead::addStatusLine(std::string_view Line) {
@@ -95,19 +106,48 @@
     return HeadFault::Status;
   Status_ = static_cast<int>(*Status);
   Fields_.clear();
+  HasField_ = false;
   Phase_ = Phase::Fields;
   return std::nullopt;
 }
 
-void AnswerHead::addField(std::string_view Line) {
+std::optional<HeadFault> AnswerHead::addField(std::string_view Line) {
   const auto Colon = Line.find(':');
-  if (Colon != std::string_view::npos)
-    Fields_.push_back({std::string(Line.substr(0, Colon)),
-                       std::string(withoutBlanks(Line.substr(Colon + 1)))});
+  const std::string_view Name = Line.substr(0, Colon);
+  if (Colon == std::string_view::npos || Name.empty() ||
+      !std::all_of(Name.begin(), Name.end(), isTokenCharacter))
+    return HeadFault::FieldName;
+  const std::string_view Value = withoutBlanks(Line.substr(Colon + 1));
+  if (!isValue(Value))
+    return HeadFault::FieldValue;
+  HasField_ = true;
+  Fields_.push_back({std::string(Name), std::string(Value)});
+  return std::nullopt;
 }
 
-void AnswerHead::endHead() {
-  Phase_ = Status_ < FirstFinalStatus ? Phase::StatusLine : Phase::Trailers;
+std::optional<HeadFault> AnswerHead::addFoldedLine(std::string_view Line) {
+  if (!HasField_)
+    return HeadFault::FoldedLine;
+  const std::string_view Text = withoutBlanks(Line);
+  if (!isValue(Text))
+    return HeadFault::FieldValue;
+  if (Text.empty())
+    return std::nullopt;
+  std::string &Value = Fields_.back().Value_;
+  if (!Value.empty())
+    Value += ' ';
+  Value += Text;
+  return std::nullopt;
+}
+
+std::optional<HeadFault> AnswerHead::endHead() {
+  HasField_ = false;
+  if (Status_ < FirstFinalStatus) {
+    Phase_ = Phase::StatusLine;
+    return std::nullopt;
+  }
+  Phase_ = Phase::Trailers;
+  return std::nullopt;
 }
 
 } // namespace endivewharf
--- a/src/answerhead.h
+++ b/src/answerhead.h
@@ -1,6 +1,6 @@
 // The head of an HTTP/1 answer, line by line as libcurl hands it on. libcurl
-// splits lines and finds the end of the body; it lets through status lines that
-// RFC 9110 and RFC 9112 do not allow.
+// splits lines and finds the end of the body; it lets through status codes,
+// field names, values and lengths that RFC 9110 and RFC 9112 do not allow.
 // Independent of libcurl.
 #pragma once
 
@@ -17,6 +17,9 @@
 enum class HeadFault {
   StatusLine, ///< Not a status line of HTTP/1.0 or HTTP/1.1.
   Status,     ///< No status code from 100 to 599, or an unasked 101.
+  FieldName,  ///< Not a token (RFC 9110, 5.6.2), or no colon behind it.
+  FieldValue, ///< A control character other than a tab.
+  FoldedLine, ///< A folded line without a field that it may continue.
 };
 
 /// @return reason for logs
@@ -37,18 +40,21 @@
   bool hasBegun() const { return Status_ != 0; }
   /// @return status code of the last status line; 0: none came
   int status() const { return Status_; }
-  /// @return fields of the final head, or of the last head that has begun
+  /// @return fields of the final head, or of the last head that has begun, with
+  ///   folded lines joined
   const Headers &fields() const { return Fields_; }
 
 private:
   enum class Phase { StatusLine, Fields, Trailers };
 
   std::optional<HeadFault> addStatusLine(std::string_view Line);
-  void addField(std::string_view Line);
-  void endHead();
+  std::optional<HeadFault> addField(std::string_view Line);
+  std::optional<HeadFault> addFoldedLine(std::string_view Line);
+  std::optional<HeadFault> endHead();
 
   Phase Phase_ = Phase::StatusLine;
   int Status_ = 0;
+  bool HasField_ = false; ///< A field came that a folded line may continue.
   Headers Fields_;
 };
 
--- a/tests/answerhead_test.cpp
+++ b/tests/answerhead_test.cpp
@@ -1,7 +1,10 @@
 // Tests of AnswerHead: which heads are answers, and what is read from them.
 #include "answerhead.h"
 
+#include "mutator.h"
+
 #include <algorithm>
+#include <cctype>
 #include <cstdio>
 #include <gtest/gtest.h>
 
@@ -9,6 +12,14 @@
 
 namespace {
 
+/// Every byte that a name or a value may not hold, as text.
+std::string allBytes() {
+  std::string Bytes;
+  for (int Byte = 0; Byte < 256; ++Byte)
+    Bytes += static_cast<char>(Byte);
+  return Bytes;
+}
+
 class AnswerHeadTest : public ::testing::Test {
 protected:
   /// Gives an answer's head to `Head_`, line by line.
@@ -28,6 +39,10 @@
     return read(Line + "\r\n\r\n");
   }
 
+  std::optional<HeadFault> readFields(const std::string &Lines) {
+    return read("HTTP/1.1 200 OK\r\n" + Lines + "\r\n");
+  }
+
   AnswerHead Head_;
 };
 
@@ -65,6 +80,54 @@
     EXPECT_EQ(readStatusLine(Line), std::nullopt) << Line;
 }
 
+TEST_F(AnswerHeadTest, names_areTokens) {
+  constexpr std::string_view Others = "!#$%&'*+-.^_`|~";
+  for (const char Byte : allBytes()) {
+    if (Byte == '\n' || Byte == ':')
+      continue; // Ends the line, or the name.
+    const auto Code = static_cast<unsigned char>(Byte);
+    const bool IsProper =
+        Code < 128 && (std::isalnum(Code) != 0 ||
+                       Others.find(Byte) != std::string_view::npos);
+    for (const std::string &Name :
+         {std::string("N") + Byte, std::string("N") + Byte + "x"})
+      EXPECT_EQ(readFields(Name + ": v\r\n") == std::nullopt, IsProper) << Code;
+  }
+  for (const char *Line : {": v\r\n", "name\r\n", "Content-Length : 2\r\n",
+                           "Transfer-Encoding\t: chunked\r\n", "(x): v\r\n"})
+    EXPECT_EQ(readFields(Line), HeadFault::FieldName) << Line;
+}
+
+TEST_F(AnswerHeadTest, values_holdNoControlCharacters) {
+  for (const char Byte : allBytes()) {
+    if (Byte == '\n')
+      continue;
+    const auto Code = static_cast<unsigned char>(Byte);
+    const bool IsProper = Byte == '\t' || (Code >= 0x20 && Code != 0x7f);
+    EXPECT_EQ(readFields(std::string("N: a") + Byte + "b\r\n") == std::nullopt,
+              IsProper)
+        << Code;
+  }
+}
+
+TEST_F(AnswerHeadTest, fields_oddButProper_areKept) {
+  ASSERT_EQ(readFields("a:\r\nB: \t x \t\r\nc:y\nD: \xff\xc3\xa4\r\n"
+                       "!#$%&'*+-.^_`|~9: \"a,b;c\"\r\n"),
+            std::nullopt);
+  const Headers Expected = {{"a", ""},
+                            {"B", "x"},
+                            {"c", "y"},
+                            {"D", "\xff\xc3\xa4"},
+                            {"!#$%&'*+-.^_`|~9", "\"a,b;c\""}};
+  EXPECT_EQ(Head_.fields(), Expected);
+}
+
+TEST_F(AnswerHeadTest, foldedLines_areJoinedToTheirField) {
+  ASSERT_EQ(readFields("A: one\r\n two: 2\r\n\t three\r\nB:\r\n x\r\n \r\n"),
+            std::nullopt);
+  EXPECT_EQ(Head_.fields(), (Headers{{"A", "one two: 2 three"}, {"B", "x"}}));
+}
+
 TEST_F(AnswerHeadTest, interimHeads_leaveNothingBehind) {
   ASSERT_EQ(read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n"
                  "Content-Length: 7\r\nX: y\r\n\r\nHTTP/1.1 204 No\r\n\r\n"),
@@ -83,4 +146,35 @@
   EXPECT_FALSE(Head_.isComplete());
 }
 
+// Whatever came, only tokens and text without control characters are kept, and
+// the end of the body is stated at most once.
+TEST_F(AnswerHeadTest, heads_nearlyRight_keepOnlyWhatIsProper) {
+  constexpr std::uint64_t Seed = 20261207;
+  constexpr int Runs = 20000;
+  Mutator Bytes(
+      Seed,
+      {"HTTP/1.1 200 OK\r\nRequest-Id: a1\r\nServer-Seal: 3e1b.07\r\n"
+       "Content-Length: 12\r\nX: folded\r\n line\r\n\r\n",
+       "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\nHTTP/1.0 503 Busy\r\n"
+       "Retry-After: 1.5\r\nContent-Length: 4, 4\r\n\r\n",
+       "HTTP/1.1 500\r\nTransfer-Encoding: chunked\r\nD: \xff\r\n\r\nT: "
+       "x\r\n"});
+  int Complete = 0;
+  for (int I = 0; I < Runs; ++I) {
+    const std::string Text = Bytes.nextMutated();
+    if (read(Text) || !Head_.isComplete())
+      continue;
+    ++Complete;
+    EXPECT_TRUE(Head_.status() >= 200 && Head_.status() <= 599) << Text;
+    for (const Header &Field : Head_.fields()) {
+      const std::string Line = Field.Name_ + ": " + Field.Value_ + "\r\n";
+      AnswerHead Again;
+      Again.addLine("HTTP/1.1 200 OK\r\n");
+      EXPECT_EQ(Again.addLine(Line), std::nullopt) << Text;
+      EXPECT_EQ(Again.fields(), (Headers{Field})) << Text;
+    }
+  }
+  EXPECT_GT(Complete, Runs / 10);
+}
+
 } // namespace endivewharf
--- a/tests/answersamples.h
+++ b/tests/answersamples.h
@@ -66,4 +66,53 @@
   return Samples;
 }
 
+/// @return field lines with a name or a value that is not proper, in the head,
+///   in an interim head and in trailers
+inline std::vector<AnswerSample> answersWithBrokenFields() {
+  std::vector<AnswerSample> Samples;
+  const std::string Length = "Content-Length: 2\r\n";
+  for (const char *Line : {"a b: c",
+                           "a\tb: c",
+                           "a\x01: c",
+                           "a\x7f: c",
+                           "a\x80: c",
+                           "(a): c",
+                           "a/b: c",
+                           "a@b: c",
+                           ": c",
+                           "Server-Seal : s",
+                           "X\t: c",
+                           "Content-Length : 1",
+                           "Transfer-Encoding : chunked",
+                           "Content-Length\t: 1",
+                           "X: a\x01",
+                           "X: \x7f",
+                           "X: a\rb",
+                           "X: \x1b[1m",
+                           "X: a\r",
+                           "\rX: a",
+                           "HTTP/1.1 200: OK"}) {
+    const std::string Text = std::string(Line) + "\r\n";
+    Samples.push_back(
+        {std::string("in the head: ") + Line, okAnswer(Text + Length)});
+    Samples.push_back({std::string("in an interim head: ") + Line,
+                       "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n" + Text +
+                           "\r\n" + okAnswer(Length)});
+  }
+  for (const char *Line : {"a b: c", "a\x01: c", "X : c", "X: a\x02"})
+    Samples.push_back(
+        {std::string("in trailers: ") + Line,
+         markedAnswer("HTTP/1.1 200 OK", "Transfer-Encoding: chunked\r\n",
+                      std::string("2\r\nok\r\n0\r\n") + Line + "\r\n\r\n")});
+  for (const std::string Before :
+       {"", "HTTP/1.1 103 Early Hints\r\n\r\n",
+        "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"})
+    for (const std::string Line : {" x: y\r\n", "\tx: y\r\n"})
+      Samples.push_back({fmt::format("folded first line behind {}", Before),
+                         fmt::format("{}HTTP/1.1 200 OK\r\n{}Request-Id: {}\r\n"
+                                     "Server-Seal: s\r\n{}\r\nok",
+                                     Before, Line, IdPlaceholder, Length)});
+  return Samples;
+}
+
 } // namespace endivewharf::harness
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -166,7 +166,9 @@
 // transfer: a folded line is added to the field before it, and there is none.
 TEST_F(BrokenAnswersTest, firstFieldLine_beginsWithABlank_processesGoOn) {
   for (const char *Line : {" folded: line\r\n", "\tfolded\r\n", " \r\n"})
-    for (const char *Before : {"", "HTTP/1.1 103 Early Hints\r\n\r\n"})
+    for (const char *Before :
+         {"", "HTTP/1.1 103 Early Hints\r\n\r\n",
+          "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"})
       expectRefused(std::string(Before) + "HTTP/1.1 200 OK\r\n" + Line +
                     "Request-Id: {id}\r\nServer-Seal: s\r\n"
                     "Content-Length: 2\r\n\r\nok");
@@ -187,4 +189,74 @@
   EXPECT_TRUE(processesRun());
 }
 
+TEST_F(BrokenAnswersTest, field_isBroken_callersGetAnError) {
+  for (const char *Line :
+       {"a b: c", "a\x01: c", "a\x80: c", ": c", "Content-Length : 1",
+        "Transfer-Encoding : chunked", "X: a\x01", "X: a\rb"})
+    expectRefused(okAnswer(std::string(Line) + "\r\nContent-Length: 2\r\n"),
+                  AfterAnswer::KeepOpen);
+  EXPECT_TRUE(processesRun());
+}
+
+// A process passes a request on to a peer; what it reads there has been read
+// by the peer before.
+TEST_F(BrokenAnswersTest, request_ofAPeer_getsAnError) {
+  const std::vector<std::string> OfPeer = {
+      "Relay-Origin: entry-9", "Relay-Account: sales", "Relay-Upstreams: 1"};
+  for (const char *Line : {"a b: c\r\n", "Content-Length : 1\r\n"}) {
+    setAnswers(okAnswer(std::string(Line) + "Content-Length: 2\r\n"));
+    for (const RouteCase &Route : Routes) {
+      const RawAnswer Got =
+          exchangeWithServer(EntryPorts_[0].RelayPort_, Route, OfPeer);
+      EXPECT_EQ(Got.Status_, 502) << Route.Name_ << Got.Head_;
+      EXPECT_EQ(Got.Head_.find("Not-Executed"), std::string::npos) << Got.Head_;
+    }
+  }
+  EXPECT_TRUE(processesRun());
+}
+
+// Guards against a broken answer that ends a request which may be repeated.
+TEST_F(BrokenAnswersTest, idempotentRequest_oneUpstreamBroken_isAnswered) {
+  const std::string Sound = okAnswer("Content-Length: 2\r\n");
+  const std::string Events =
+      markedAnswer("HTTP/1.1 200 OK", "", "id: 1\ndata: x\n\n");
+  const std::string Broken = okAnswer("a b: c\r\nContent-Length: 2\r\n");
+  const auto &Plain = Routes[0];
+  const auto &Stream = Routes[2];
+  Servers_[0]->setAnswer(Broken);
+  int Repeated = 0;
+  for (int I = 0; I < 4 * ServerCount; ++I) {
+    const RouteCase &Route = I % 2 == 0 ? Plain : Stream;
+    for (int Server = 1; Server < ServerCount; ++Server)
+      Servers_[Server]->setAnswer(I % 2 == 0 ? Sound : Events);
+    const std::string Id = nextId();
+    EXPECT_EQ(exchange(EntryPorts_[I % 2].CallerPort_, Route, Id).Status_, 200);
+    Repeated += Servers_[0]->hasRead(Id) ? 1 : 0;
+  }
+  EXPECT_GT(Repeated, 0) << "no request has met the broken upstream";
+}
+
+// Every broken answer is logged with its request and counted.
+TEST_F(BrokenAnswersTest, answer_isBroken_isLoggedAndCounted) {
+  const std::string Broken = okAnswer("a b: c\r\nContent-Length: 2\r\n");
+  setAnswers(Broken);
+  exchangeWithServer(EntryPorts_[0].CallerPort_, Routes[1]);
+  const std::string Id = "b" + std::to_string(LastId_);
+  const std::string Metrics =
+      sendHttpRequest("GET", fmt::format("http://127.0.0.1:{}/metrics",
+                                         EntryPorts_[0].OperatorPort_))
+          .Body_;
+  EXPECT_NE(Metrics.find("protocol_errors_total 1"), std::string::npos)
+      << Metrics;
+  EXPECT_TRUE(waitUntil([&] {
+    std::ifstream Log(Folder_ + "/entry-0.log");
+    for (std::string Line; std::getline(Log, Line);)
+      if (Line.find("event=attempt_failed request=" + Id + " ") !=
+              std::string::npos &&
+          Line.find("malformed field name") != std::string::npos)
+        return true;
+    return false;
+  })) << Id;
+}
+
 } // namespace endivewharf::harness
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -1,6 +1,7 @@
 // Tests of everything that reads answers, at stand-ins that send broken ones:
 // attempts of both interfaces, the store, the log, probes and control requests.
 #include "answersamples.h"
+#include "platform.h"
 #include "platform/upstream.h"
 
 #include <asio/io_context.hpp>
@@ -139,6 +140,7 @@
   HttpClient Client_{Io_};
   std::unique_ptr<platform::UpstreamClient> Upstreams_;
   std::unique_ptr<AttemptRunner> Own_;
+  std::unique_ptr<PlatformClient> Platform_;
   std::vector<EventBody> Events_;
   AttemptId LastAttempt_ = 0;
 };
@@ -152,6 +154,27 @@
     expectMalformedEverywhere(Sample);
 }
 
+TEST_F(AnswerReaderTest, field_isBroken_failsTheAttempt) {
+  for (const AnswerSample &Sample : answersWithBrokenFields())
+    expectMalformedEverywhere(Sample);
+}
+
+// Guards against a refusal whose head is broken: it says nothing, not even
+// that the request has not run.
+TEST_F(AnswerReaderTest, refusal_withABrokenHead_saysNothing) {
+  for (const char *Line : {"a b: c", "X: \x01", "Content-Length : 0"})
+    for (const char *Status : {"503 Busy", "429 Many", "421 Other"}) {
+      const AnswerSample Sample{
+          Line, std::string("HTTP/1.1 ") + Status +
+                    "\r\nRequest-Id: {id}\r\nNot-Executed: 1\r\n"
+                    "Server-Leaving: 1\r\nRetry-After: 5\r\n" +
+                    Line + "\r\nContent-Length: 0\r\n\r\n"};
+      Server_.setAnswer(Sample.Bytes_, Sample.After_);
+      expectMalformed(Sample, attempt(false));
+      expectMalformed(Sample, attempt(true));
+    }
+}
+
 TEST_F(AnswerReaderTest, answer_soundAndOdd_isPassedOn) {
   std::string ManyFields;
   for (int I = 0; I < 1000; ++I)
@@ -217,4 +240,56 @@
   }
 }
 
+// Guards against fields that are dropped, or joined, on the way.
+TEST_F(AnswerReaderTest, fields_oddButProper_arePassedOnAsTheyCame) {
+  Server_.setAnswer(okAnswer("Content-Length: 2\r\nA:\r\nB: \xff\r\na: 2\r\n"
+                             "F: one\r\n two: 2\r\n"),
+                    AfterAnswer::KeepOpen);
+  const EventBody Last = attempt(false);
+  ASSERT_TRUE(std::holds_alternative<ServiceAnswer>(Last));
+  const Headers Expected = {
+      {"Request-Id", "r1"}, {"Server-Seal", "s"}, {"A", ""},
+      {"B", "\xff"},        {"a", "2"},           {"F", "one two: 2"}};
+  EXPECT_EQ(std::get<ServiceAnswer>(Last).Headers_, Expected);
+}
+
+TEST_F(AnswerReaderTest, ownPlatform_answersBroken_saysNothing) {
+  Settings Own;
+  Own.LogUrl_ = Server_.url();
+  const auto Client = [&](const auto &Call) {
+    return lastEvent([&](HttpClient &Http, EventSink Sink) {
+      Platform_ = std::make_unique<PlatformClient>(Http, Own, std::move(Sink));
+      Call(*Platform_);
+    });
+  };
+  const std::string Page = R"({"earliest":0,"next":0,"records":[]})";
+  const std::string Health = R"({"running":0,"waiting":0,"slots":4})";
+  for (const char *Line : {"a b: c\r\n", "Content-Length : 1\r\n",
+                           "X: \x01\r\n", " folded: x\r\n", ""}) {
+    const bool IsSound = *Line == 0;
+    const auto SetBody = [&](const std::string &Body) {
+      Server_.setAnswer(std::string("HTTP/1.1 200 OK\r\n") + Line +
+                            "Content-Length: " + std::to_string(Body.size()) +
+                            "\r\n\r\n" + Body,
+                        AfterAnswer::KeepOpen);
+    };
+    SetBody(Page);
+    EXPECT_EQ(std::holds_alternative<LogRead>(
+                  Client([](PlatformClient &C) { C.readLog({}); })),
+              IsSound)
+        << Line;
+    const EventBody Append = Client([](PlatformClient &C) {
+      C.appendToLog({1, {}});
+    });
+    ASSERT_TRUE(std::holds_alternative<AppendEnded>(Append));
+    EXPECT_EQ(std::get<AppendEnded>(Append).Accepted_, IsSound) << Line;
+    SetBody(Health);
+    const EventBody Probe = Client([&](PlatformClient &C) {
+      C.probeUpstream({{"h", 1}, Server_.url()});
+    });
+    ASSERT_TRUE(std::holds_alternative<ProbeEnded>(Probe));
+    EXPECT_EQ(std::get<ProbeEnded>(Probe).Reached_, IsSound) << Line;
+  }
+}
+
 } // namespace endivewharf::harness
