An answer that contradicts itself about its length is no answer

What callers saw: an answer whose length has a sign, text behind it, two values, or more than 63 bits, that states a length and chunks, or whose transfer coding is none or not chunked alone, was passed on with whatever body libcurl's lenient reading gave: '+2' and '2x' as 2, of two lengths the last, a length beyond 64 bits as none, a folded coding as none, so that the framing of the chunks came as a part of the body. The store's client took such answers for records, acknowledgements and refusals.

Cause: libcurl reads these fields line by line with strtoll and by token; no option makes it strict.

Change: AnswerHead checks at the end of a head that the length is one number (equal ones may be repeated, RFC 9110, 8.6), that the coding is chunked alone, in HTTP/1.1 and without a length (RFC 9112, 6.1 and 6.3), and that neither is folded.

--- a/src/answerhead.cpp
+++ b/src/answerhead.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <strings.h>
 
 namespace endivewharf {
 
@@ -12,6 +13,12 @@
 constexpr int FirstFinalStatus = 200;
 constexpr int LastStatus = 599;
 constexpr int StatusSwitchingProtocols = 101;
+constexpr std::string_view LengthName = "Content-Length";
+constexpr std::string_view CodingName = "Transfer-Encoding";
+
+bool isEqualIgnoringCase(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
 
 bool isBlank(char C) { return C == ' ' || C == '\t'; }
 
@@ -43,6 +50,11 @@
   return Text;
 }
 
+bool decidesFraming(std::string_view Name) {
+  return isEqualIgnoringCase(Name, LengthName) ||
+         isEqualIgnoringCase(Name, CodingName);
+}
+
 /// @return digits as a number; nothing for other text or more than 63 bits
 std::optional<std::int64_t> parseLength(std::string_view Text) {
   std::int64_t Length = 0;
@@ -53,6 +65,45 @@
   return Result.ec == std::errc() ? std::optional(Length) : std::nullopt;
 }
 
+/// Collects what the fields of a head say about the end of the body.
+class Framing {
+public:
+  std::optional<HeadFault> addField(const Header &Field) {
+    if (isEqualIgnoringCase(Field.Name_, LengthName))
+      return addLengths(Field.Value_);
+    if (!isEqualIgnoringCase(Field.Name_, CodingName))
+      return std::nullopt;
+    if (HasCoding_ || !isEqualIgnoringCase(Field.Value_, "chunked"))
+      return HeadFault::TransferCoding;
+    HasCoding_ = true;
+    return std::nullopt;
+  }
+
+  std::optional<HeadFault> check(bool IsVersion10) const {
+    if (HasCoding_ && (IsVersion10 || Length_))
+      return HeadFault::TransferCoding;
+    return std::nullopt;
+  }
+
+private:
+  /// A list of equal lengths counts as one (RFC 9110, 8.6).
+  std::optional<HeadFault> addLengths(std::string_view List) {
+    for (;;) {
+      const auto Comma = List.find(',');
+      const auto Length = parseLength(withoutBlanks(List.substr(0, Comma)));
+      if (!Length || (Length_ && *Length_ != *Length))
+        return HeadFault::Length;
+      Length_ = Length;
+      if (Comma == std::string_view::npos)
+        return std::nullopt;
+      List.remove_prefix(Comma + 1);
+    }
+  }
+
+  std::optional<std::int64_t> Length_;
+  bool HasCoding_ = false;
+};
+
 } // namespace
 
 std::string_view describe(HeadFault Fault) {
@@ -66,9 +117,13 @@
   case HeadFault::FieldValue:
     return "control character in a field value";
   case HeadFault::FoldedLine:
+    return "folded line that continues no field";
+  case HeadFault::Length:
+    return "malformed or contradictory length";
+  case HeadFault::TransferCoding:
     break;
   }
-  return "folded line that continues no field";
+  return "transfer coding that is not chunked alone";
 }
 
 std::optional<HeadFault> AnswerHead::addLine(std::string_view Line) {
@@ -104,6 +159,7 @@
   if (*Status < FirstStatus || *Status > LastStatus ||
       *Status == StatusSwitchingProtocols)
     return HeadFault::Status;
+  IsVersion10_ = Line[Prefix.size()] == '0';
   Status_ = static_cast<int>(*Status);
   Fields_.clear();
   HasField_ = false;
@@ -121,12 +177,14 @@
   if (!isValue(Value))
     return HeadFault::FieldValue;
   HasField_ = true;
+  IsFramingField_ = decidesFraming(Name);
   Fields_.push_back({std::string(Name), std::string(Value)});
   return std::nullopt;
 }
 
 std::optional<HeadFault> AnswerHead::addFoldedLine(std::string_view Line) {
-  if (!HasField_)
+  // libcurl reads lengths and codings line by line, without what is folded.
+  if (!HasField_ || IsFramingField_)
     return HeadFault::FoldedLine;
   const std::string_view Text = withoutBlanks(Line);
   if (!isValue(Text))
@@ -147,7 +205,11 @@
     return std::nullopt;
   }
   Phase_ = Phase::Trailers;
-  return std::nullopt;
+  Framing BodyFraming;
+  for (const Header &Field : Fields_)
+    if (const auto Fault = BodyFraming.addField(Field))
+      return Fault;
+  return BodyFraming.check(IsVersion10_);
 }
 
 } // namespace endivewharf
--- a/src/answerhead.h
+++ b/src/answerhead.h
@@ -15,11 +15,13 @@
 
 /// Why an answer's head is malformed.
 enum class HeadFault {
-  StatusLine, ///< Not a status line of HTTP/1.0 or HTTP/1.1.
-  Status,     ///< No status code from 100 to 599, or an unasked 101.
-  FieldName,  ///< Not a token (RFC 9110, 5.6.2), or no colon behind it.
-  FieldValue, ///< A control character other than a tab.
-  FoldedLine, ///< A folded line without a field that it may continue.
+  StatusLine,    ///< Not a status line of HTTP/1.0 or HTTP/1.1.
+  Status,        ///< No status code from 100 to 599, or an unasked 101.
+  FieldName,     ///< Not a token (RFC 9110, 5.6.2), or no colon behind it.
+  FieldValue,    ///< A control character other than a tab.
+  FoldedLine,    ///< A folded line without a field that it may continue.
+  Length,        ///< A length that is no number, is too large, or differs.
+  TransferCoding ///< Not `chunked` alone, beside a length, or in HTTP/1.0.
 };
 
 /// @return reason for logs
@@ -54,7 +56,9 @@
 
   Phase Phase_ = Phase::StatusLine;
   int Status_ = 0;
-  bool HasField_ = false; ///< A field came that a folded line may continue.
+  bool IsVersion10_ = false; ///< HTTP/1.0, which has no transfer codings.
+  bool HasField_ = false;    ///< A field came that a folded line may continue.
+  bool IsFramingField_ = false; ///< The last field decides where the body ends.
   Headers Fields_;
 };
 
--- a/tests/answerhead_test.cpp
+++ b/tests/answerhead_test.cpp
@@ -128,6 +128,52 @@
   EXPECT_EQ(Head_.fields(), (Headers{{"A", "one two: 2 three"}, {"B", "x"}}));
 }
 
+TEST_F(AnswerHeadTest, foldedLines_thatContinueNothingOrALength_areFaults) {
+  for (const char *Lines :
+       {" x: y\r\n", "\tx\r\n", " \r\n", "Content-Length: 2\r\n 3\r\n",
+        "Content-Length:\r\n 2\r\n", "Transfer-Encoding:\r\n chunked\r\n"})
+    EXPECT_EQ(readFields(Lines), HeadFault::FoldedLine) << Lines;
+  EXPECT_EQ(read("HTTP/1.1 103 Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n c\r\n"),
+            HeadFault::FoldedLine);
+  EXPECT_EQ(readFields("A: b\r\n c\x01\r\n"), HeadFault::FieldValue);
+}
+
+TEST_F(AnswerHeadTest, lengths_thatAreNoOneNumber_areFaults) {
+  for (const char *Value :
+       {"", "+2", "-2", "2x", "0x2", "2.0", "2 3", "2;", ",", "2,", ",2", "2,3",
+        "2, 3", "9223372036854775808", "18446744073709551618",
+        "99999999999999999999999", "\"2\""})
+    EXPECT_EQ(readFields(std::string("Content-Length: ") + Value + "\r\n"),
+              HeadFault::Length)
+        << Value;
+  EXPECT_EQ(readFields("Content-Length: 2\r\ncontent-length: 3\r\n"),
+            HeadFault::Length);
+}
+
+TEST_F(AnswerHeadTest, lengths_thatAreEqual_areProper) {
+  for (const char *Lines :
+       {"Content-Length: 0\r\n", "content-LENGTH:2\r\n",
+        "Content-Length: 9223372036854775807\r\n", "Content-Length: 2, 2\r\n",
+        "Content-Length: 2\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nContent-Length: 02\r\n", ""})
+    EXPECT_EQ(readFields(Lines), std::nullopt) << Lines;
+}
+
+TEST_F(AnswerHeadTest, transferCodings_otherThanChunkedAlone_areFaults) {
+  for (const char *Lines :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: identity\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n",
+        "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n"})
+    EXPECT_EQ(readFields(Lines), HeadFault::TransferCoding) << Lines;
+  EXPECT_EQ(read("HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"),
+            HeadFault::TransferCoding);
+  EXPECT_EQ(readFields("transfer-encoding: Chunked\r\n"), std::nullopt);
+}
+
 TEST_F(AnswerHeadTest, interimHeads_leaveNothingBehind) {
   ASSERT_EQ(read("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Hints\r\n"
                  "Content-Length: 7\r\nX: y\r\n\r\nHTTP/1.1 204 No\r\n\r\n"),
--- a/tests/answersamples.h
+++ b/tests/answersamples.h
@@ -115,4 +115,40 @@
   return Samples;
 }
 
+/// @return heads and chunks that do not say where the body ends
+inline std::vector<AnswerSample> answersWithBrokenFraming() {
+  std::vector<AnswerSample> Samples;
+  for (const char *Value : {"+2", "-2", "2x", "0x2", "2 3", "2.0", "2, 3", "2;",
+                            "", "9223372036854775808", "18446744073709551618",
+                            "99999999999999999999999999"})
+    Samples.push_back(
+        {std::string("length ") + Value,
+         okAnswer(std::string("Content-Length: ") + Value + "\r\n"),
+         AfterAnswer::Close});
+  Samples.push_back(
+      {"two lengths", okAnswer("Content-Length: 1\r\nContent-Length: 2\r\n")});
+  Samples.push_back({"folded length", okAnswer("Content-Length: 2\r\n 2\r\n")});
+  const std::string Chunks = "2\r\nok\r\n0\r\n\r\n";
+  for (const char *Lines :
+       {"Transfer-Encoding: gzip\r\n", "Transfer-Encoding: gzip, chunked\r\n",
+        "Transfer-Encoding: chunked, chunked\r\n",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n",
+        "Transfer-Encoding: identity\r\n", "Transfer-Encoding:\r\n",
+        "Transfer-Encoding:\r\n chunked\r\n",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2\r\n"})
+    Samples.push_back({Lines, markedAnswer("HTTP/1.1 200 OK", Lines, Chunks),
+                       AfterAnswer::Close});
+  Samples.push_back({"chunks in HTTP/1.0",
+                     markedAnswer("HTTP/1.0 200 OK",
+                                  "Transfer-Encoding: chunked\r\n", Chunks)});
+  for (const char *Broken :
+       {"x\r\nok\r\n0\r\n\r\n", "-2\r\nok\r\n0\r\n\r\n", "\r\nok\r\n",
+        "2\r\nokay\r\n0\r\n\r\n", "11112222333344445\r\nok\r\n0\r\n\r\n",
+        "ffffffffffffffff\r\nok"})
+    Samples.push_back({std::string("chunk ") + Broken,
+                       markedAnswer("HTTP/1.1 200 OK",
+                                    "Transfer-Encoding: chunked\r\n", Broken)});
+  return Samples;
+}
+
 } // namespace endivewharf::harness
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -198,6 +198,15 @@
   EXPECT_TRUE(processesRun());
 }
 
+TEST_F(BrokenAnswersTest, length_isBroken_callersGetAnError) {
+  for (const char *Lines :
+       {"Content-Length: +2\r\n", "Content-Length: 1\r\nContent-Length: 2\r\n",
+        "Content-Length: 18446744073709551618\r\n",
+        "Transfer-Encoding: gzip\r\n", "Transfer-Encoding:\r\n chunked\r\n"})
+    expectRefused(okAnswer(Lines));
+  EXPECT_TRUE(processesRun());
+}
+
 // A process passes a request on to a peer; what it reads there has been read
 // by the peer before.
 TEST_F(BrokenAnswersTest, request_ofAPeer_getsAnError) {
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -2,6 +2,8 @@
 // attempts of both interfaces, the store, the log, probes and control requests.
 #include "answersamples.h"
 #include "platform.h"
+#include "platform/controlclient.h"
+#include "platform/store.h"
 #include "platform/upstream.h"
 
 #include <asio/io_context.hpp>
@@ -14,6 +16,29 @@
 
 constexpr auto MaxRunTime = std::chrono::seconds(20);
 
+/// @return broken answers of the kinds that the store and the control API
+///   know: success, a refused append, none available, expired, not found
+std::vector<AnswerSample> brokenAnswersOfAnyStatus() {
+  std::vector<AnswerSample> Samples;
+  for (const char *Status :
+       {"200 OK", "412 Failed", "409 Conflict", "410 Gone", "404 Not Found"})
+    for (const char *Line :
+         {"a b: c", "Content-Length : 1", "X: a\x01", "Content-Length: +2",
+          "Content-Length: 3", "Transfer-Encoding: gzip", " folded: first"}) {
+      const std::string Name = std::string(Status) + ", " + Line;
+      Samples.push_back({Name, std::string("HTTP/1.1 ") + Status + "\r\n" +
+                                   Line +
+                                   "\r\nStore-Era: 7\r\nContent-Length: 2\r\n"
+                                   "\r\n{}"});
+    }
+  for (const char *Status : {"000", "099", "600", "412 ", "409 ", "200 "})
+    Samples.push_back(
+        {Status,
+         std::string("HTTP/1.1 ") + Status + "\r\nContent-Length: 20\r\n\r\n{}",
+         AfterAnswer::Close});
+  return Samples;
+}
+
 /// Runs one client at a time against a scripted server.
 class AnswerReaderTest : public ::testing::Test {
 protected:
@@ -140,6 +165,8 @@
   HttpClient Client_{Io_};
   std::unique_ptr<platform::UpstreamClient> Upstreams_;
   std::unique_ptr<AttemptRunner> Own_;
+  std::unique_ptr<platform::StoreClient> Store_;
+  std::unique_ptr<platform::ControlClient> Control_;
   std::unique_ptr<PlatformClient> Platform_;
   std::vector<EventBody> Events_;
   AttemptId LastAttempt_ = 0;
@@ -159,6 +186,11 @@
     expectMalformedEverywhere(Sample);
 }
 
+TEST_F(AnswerReaderTest, framing_isBroken_failsTheAttempt) {
+  for (const AnswerSample &Sample : answersWithBrokenFraming())
+    expectMalformedEverywhere(Sample);
+}
+
 // Guards against a refusal whose head is broken: it says nothing, not even
 // that the request has not run.
 TEST_F(AnswerReaderTest, refusal_withABrokenHead_saysNothing) {
@@ -253,6 +285,52 @@
   EXPECT_EQ(std::get<ServiceAnswer>(Last).Headers_, Expected);
 }
 
+// Guards against a broken answer that is taken for records, an
+// acknowledgement or a refusal.
+TEST_F(AnswerReaderTest, store_answersBroken_saysNothing) {
+  const auto Client = [&](const auto &Call) {
+    return lastEvent([&](HttpClient &Http, EventSink Sink) {
+      Store_ = std::make_unique<platform::StoreClient>(Http, Server_.url(),
+                                                       std::move(Sink));
+      Call(*Store_);
+    });
+  };
+  using platform::StoreClient;
+  for (const AnswerSample &Sample : brokenAnswersOfAnyStatus()) {
+    Server_.setAnswer(Sample.Bytes_, Sample.After_);
+    EXPECT_TRUE(
+        std::holds_alternative<LogReadFailed>(Client([](StoreClient &C) {
+          C.readControlLog({0, 0});
+        })))
+        << Sample.Name_;
+    EXPECT_TRUE(
+        std::holds_alternative<LogReadFailed>(Client([](StoreClient &C) {
+          C.readControlLog({4, 0});
+        })))
+        << Sample.Name_;
+    EXPECT_TRUE(std::holds_alternative<OperatorLogReadFailed>(
+        Client([](StoreClient &C) {
+          C.readOperatorLog({0, 0});
+        })))
+        << Sample.Name_;
+    EXPECT_TRUE(std::holds_alternative<HostsReadFailed>(
+        Client([](StoreClient &C) { C.readHosts(); })))
+        << Sample.Name_;
+    const EventBody Append = Client([](StoreClient &C) {
+      C.appendToControlLog({1, {LeaseRenewRecord{}}, 4});
+    });
+    ASSERT_TRUE(std::holds_alternative<AppendEnded>(Append)) << Sample.Name_;
+    EXPECT_FALSE(std::get<AppendEnded>(Append).Accepted_) << Sample.Name_;
+    EXPECT_FALSE(std::get<AppendEnded>(Append).Refused_) << Sample.Name_;
+    const EventBody Status = Client([](StoreClient &C) {
+      C.writeRolloutStatus({"orders", "v2", "complete"});
+    });
+    ASSERT_TRUE(std::holds_alternative<RolloutStatusWritten>(Status));
+    EXPECT_FALSE(std::get<RolloutStatusWritten>(Status).Accepted_)
+        << Sample.Name_;
+  }
+}
+
 TEST_F(AnswerReaderTest, ownPlatform_answersBroken_saysNothing) {
   Settings Own;
   Own.LogUrl_ = Server_.url();
