Trailers and interim heads change nothing that the head has said

What callers saw: trailers were merged with the fields of the head. An answer that has run, with Not-Executed in its trailers, counted as one that has not: a request that may run once could run again. A Content-Encoding or a length there reached the caller as a field of the head. X-Not-Run in an interim head counted for the final one.

Cause: onHeader kept every line of an answer in one list.

Change: AnswerHead checks trailers and does not keep them; RFC 9112, 7.1.2 forbids merging, and allows to discard them. The answer itself is passed on as before.

Evidence: AnswerReaderTest.trailers_nameFieldsOfTheHead_changeNothing fails on the code before (a 200 with trailers is 'refused, not run') and holds after.

--- a/src/answerhead.cpp
+++ b/src/answerhead.cpp
@@ -178,7 +178,8 @@
     return HeadFault::FieldValue;
   HasField_ = true;
   IsFramingField_ = decidesFraming(Name);
-  Fields_.push_back({std::string(Name), std::string(Value)});
+  if (Phase_ == Phase::Fields)
+    Fields_.push_back({std::string(Name), std::string(Value)});
   return std::nullopt;
 }
 
@@ -189,7 +190,7 @@
   const std::string_view Text = withoutBlanks(Line);
   if (!isValue(Text))
     return HeadFault::FieldValue;
-  if (Text.empty())
+  if (Phase_ != Phase::Fields || Text.empty())
     return std::nullopt;
   std::string &Value = Fields_.back().Value_;
   if (!Value.empty())
--- a/src/answerhead.h
+++ b/src/answerhead.h
@@ -28,6 +28,8 @@
 std::string_view describe(HeadFault Fault);
 
 /// Checks the lines of one answer: interim heads, the final head and trailers.
+/// Trailers are checked and not kept: RFC 9112, 7.1.2 forbids merging them with
+/// the fields of the head.
 class AnswerHead {
 public:
   /// Takes the next line. A line without line feed is one within which the
--- a/tests/answerhead_test.cpp
+++ b/tests/answerhead_test.cpp
@@ -183,6 +183,16 @@
   EXPECT_TRUE(Head_.fields().empty());
 }
 
+TEST_F(AnswerHeadTest, trailers_areCheckedAndNotKept) {
+  ASSERT_EQ(readFields("A: b\r\n"), std::nullopt);
+  EXPECT_EQ(Head_.addLine("Not-Run: 1\r\n"), std::nullopt);
+  EXPECT_EQ(Head_.addLine(" folded\r\n"), std::nullopt);
+  EXPECT_EQ(Head_.addLine("\r\n"), std::nullopt);
+  EXPECT_EQ(Head_.fields(), (Headers{{"A", "b"}}));
+  EXPECT_EQ(Head_.addLine("HTTP/1.1 503 x: y\r\n"), HeadFault::FieldName);
+  EXPECT_EQ(Head_.addLine("A: \x01\r\n"), HeadFault::FieldValue);
+}
+
 TEST_F(AnswerHeadTest, lines_withoutLineFeed_areNotRead) {
   EXPECT_EQ(Head_.addLine("HTTP/1.1 200 OK"), std::nullopt);
   EXPECT_FALSE(Head_.hasBegun());
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -207,6 +207,35 @@
     }
 }
 
+// Guards against trailers that take back what the head has said.
+TEST_F(AnswerReaderTest, trailers_nameFieldsOfTheHead_changeNothing) {
+  const auto Chunked = [](const char *Status, const char *Body) {
+    return markedAnswer(std::string("HTTP/1.1 ") + Status,
+                        "Transfer-Encoding: chunked\r\nTrailer: X\r\n",
+                        std::string(Body) +
+                            "0\r\nNot-Executed: 1\r\nX-Not-Run: 1\r\n"
+                            "Content-Encoding: gzip\r\nContent-Length: 1\r\n"
+                            "Request-Id: other\r\n\r\n");
+  };
+  Server_.setAnswer(Chunked("200 OK", "2\r\nok\r\n"), AfterAnswer::KeepOpen);
+  const EventBody Plain = attempt(false);
+  ASSERT_TRUE(std::holds_alternative<ServiceAnswer>(Plain)) << failureOf(Plain);
+  EXPECT_EQ(std::get<ServiceAnswer>(Plain).Body_, "ok");
+  for (const Header &Field : std::get<ServiceAnswer>(Plain).Headers_)
+    EXPECT_TRUE(Field.Name_ == "Request-Id" || Field.Name_ == "Server-Seal")
+        << Field.Name_;
+  Server_.setAnswer(Chunked("500 Broken", ""), AfterAnswer::KeepOpen);
+  EXPECT_TRUE(std::holds_alternative<ServiceAnswer>(attempt(false)));
+  Server_.setAnswer(Chunked("503 Busy", ""), AfterAnswer::KeepOpen);
+  const EventBody Busy = ownAttempt(CallKind::Service);
+  EXPECT_TRUE(std::holds_alternative<ServiceAnswer>(Busy)) << failureOf(Busy);
+  Server_.setAnswer("HTTP/1.1 103 Hints\r\nX-Not-Run: 1\r\n\r\n"
+                    "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n",
+                    AfterAnswer::KeepOpen);
+  EXPECT_TRUE(
+      std::holds_alternative<ServiceAnswer>(ownAttempt(CallKind::Service)));
+}
+
 TEST_F(AnswerReaderTest, answer_soundAndOdd_isPassedOn) {
   std::string ManyFields;
   for (int I = 0; I < 1000; ++I)
