A broken answer to a scale request says nothing about hosts

What operators would see: an answer of the control API with status 409 that broke off, or whose head was malformed, counted as 'no hosts are available'.

Cause: the status was read whether or not the answer was complete.

--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -360,6 +360,34 @@
   }
 }
 
+TEST_F(AnswerReaderTest,
+       controlRequest_answeredBroken_isNeitherDoneNorRefused) {
+  const auto Client = [&](const auto &Call) {
+    return lastEvent([&](HttpClient &Http, EventSink Sink) {
+      Control_ = std::make_unique<platform::ControlClient>(
+          Http, Server_.url(), "entry-0", std::move(Sink));
+      Call(*Control_);
+    });
+  };
+  using platform::ControlClient;
+  for (const AnswerSample &Sample : brokenAnswersOfAnyStatus()) {
+    Server_.setAnswer(Sample.Bytes_, Sample.After_);
+    const EventBody Usage = Client([](ControlClient &C) {
+      C.sendUsageReport({1, 2, {}, monotonicNow() + 60000});
+    });
+    ASSERT_TRUE(std::holds_alternative<UsageReportAnswered>(Usage));
+    EXPECT_FALSE(std::get<UsageReportAnswered>(Usage).Accepted_)
+        << Sample.Name_;
+    const EventBody Scale = Client([](ControlClient &C) {
+      C.sendScaleRequest(
+          {1, 1, "orders", "a", 2, false, monotonicNow() + 60000});
+    });
+    ASSERT_TRUE(std::holds_alternative<ScaleAnswered>(Scale));
+    EXPECT_FALSE(std::get<ScaleAnswered>(Scale).Accepted_) << Sample.Name_;
+    EXPECT_FALSE(std::get<ScaleAnswered>(Scale).NoneAvailable_) << Sample.Name_;
+  }
+}
+
 TEST_F(AnswerReaderTest, ownPlatform_answersBroken_saysNothing) {
   Settings Own;
   Own.LogUrl_ = Server_.url();
