Tests: a reset during the upload ends no answer without length

What the report says: an early 200 without a length, a part of its body and a reset while the upload is still being written, and the part counts as whole. Here callers get a 502, or an unfinished stream: the case is handled, and nothing in the product changes.

Why: a socket reports a reset once, to the first call after it; the next receive reads an end of file. libcurl 7.88.1 fails a transfer on the error of a send as on that of a receive, so that it does not matter which is first. The only other call that could take the error is getsockopt(SO_ERROR): in a trial with a counting shim it was called 547 times before the first send on a socket, by libcurl while it connects, and never after.

An early answer that ends cleanly, or has a length, is whole.

--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -245,6 +245,25 @@
   EXPECT_GT(Repeated, 0) << "no request has met the broken upstream";
 }
 
+// Guards against a part of an answer without length that counts as whole, as
+// its reset comes while the request is still being written.
+TEST_F(BrokenAnswersTest, earlyAnswer_resetDuringTheUpload_isNoAnswer) {
+  for (const auto &Server : Servers_)
+    Server->setAnswer(markedAnswer("HTTP/1.1 200 OK", "", "a part"),
+                      AfterAnswer::Reset, AnswerTime::AfterHead);
+  constexpr std::size_t UploadBytes = 3 << 20;
+  int ReadCount = 0;
+  for (int I = 0; I < 2 * ServerCount; ++I) {
+    const std::string Id = nextId();
+    const RawAnswer Got = exchange(EntryPorts_[I % 2].CallerPort_, Routes[1],
+                                   Id, {}, UploadBytes);
+    const bool IsRead = hasAnyRead(Id);
+    EXPECT_EQ(Got.Status_, IsRead ? 502 : 503) << Got.Head_ << Got.Body_;
+    ReadCount += IsRead ? 1 : 0;
+  }
+  EXPECT_GT(ReadCount, 0);
+}
+
 // Every broken answer is logged with its request and counted.
 TEST_F(BrokenAnswersTest, answer_isBroken_isLoggedAndCounted) {
   const std::string Broken = okAnswer("a b: c\r\nContent-Length: 2\r\n");
