Malformed answers are logged and counted, whoever reads them

What operators saw: a broken answer of the store, the log or the control API was a failed read without a reason; only attempts said theirs.

Change: the HTTP client logs each malformed answer with its address and the reason and counts it (metric malformed_answers); attempts log it with the id of the request as well (attempt_failed) and count it (protocol_errors).

Evidence: AnswerReaderTest counts each answer of each reader; BrokenAnswersTest.answer_isBroken_isLoggedAndCounted reads log and metrics of a real process.

--- a/src/client.cpp
+++ b/src/client.cpp
@@ -3,6 +3,7 @@
 #include "client.h"
 
 #include "answerhead.h"
+#include "logger.h"
 
 #include <algorithm>
 #include <chrono>
@@ -455,6 +456,11 @@
 
 void HttpClient::finishTransfer(Transfer &T, TransferEnd End,
                                 std::string Detail) {
+  if (End == TransferEnd::Malformed) {
+    ++MalformedCount_;
+    writeLogLine(LogLevel::Warning, "malformed_answer",
+                 {{"url", T.Request_.Url_}, {"reason", Detail}});
+  }
   HttpResult Result;
   Result.End_ = End;
   Result.Detail_ = std::move(Detail);
--- a/src/client.h
+++ b/src/client.h
@@ -48,7 +48,7 @@
   Complete,
   NotSent, ///< No byte of the request was written.
   ConnectionBroken,
-  TimedOut, ///< One of the request's timeouts passed.
+  TimedOut,  ///< One of the request's timeouts passed.
   Malformed, ///< The bytes that came are no proper answer.
   Stopped    ///< By the body sink, a cancellation or a limit on bytes.
 };
@@ -97,6 +97,8 @@
   void cancelTransfer(std::uint64_t Id);
 
   std::size_t activeTransfers() const { return Transfers_.size(); }
+  /// @return number of answers that were malformed, whoever sent them
+  std::int64_t malformedAnswers() const { return MalformedCount_; }
 
 private:
   struct Transfer;
@@ -138,6 +140,7 @@
   std::unordered_map<CURL *, Transfer *> TransferByHandle_;
   std::map<curl_socket_t, std::shared_ptr<SocketWatch>> Watches_;
   std::uint64_t NextId_ = 1;
+  std::int64_t MalformedCount_ = 0;
 };
 
 /// Starts a transfer and collects its whole body.
--- a/src/metrics.cpp
+++ b/src/metrics.cpp
@@ -83,7 +83,8 @@
 } // namespace
 
 std::string renderMetrics(const State &S, const PeerTrafficTotals &Traffic,
-                          const ConnectionTotals &Connections) {
+                          const ConnectionTotals &Connections,
+                          std::int64_t MalformedAnswers) {
   prometheus::Registry Registry;
   for (const auto &[Name, Value] : S.Counters_.Values_)
     addCounter(Registry, Name, "events since the start", Value);
@@ -111,6 +112,9 @@
   addCounter(Registry, "caller_requests_refused",
              "requests refused because they are malformed or too long",
              Connections.RefusedCount_);
+  addCounter(Registry, "malformed_answers",
+             "answers of upstreams and of the platform that are malformed",
+             MalformedAnswers);
   addGauge(Registry, "ready", "1 if callers may come", S.Ready_ ? 1 : 0);
   addGauge(Registry, "log_available", "1 if the log answers",
            S.Log_.Available_ ? 1 : 0);
--- a/src/metrics.h
+++ b/src/metrics.h
@@ -25,8 +25,10 @@
   std::int64_t RefusedCount_ = 0;
 };
 
+/// @param MalformedAnswers answers of upstreams and of the platform
 /// @return the metrics in Prometheus' text exposition format
 std::string renderMetrics(const State &S, const PeerTrafficTotals &Traffic,
-                          const ConnectionTotals &Connections = {});
+                          const ConnectionTotals &Connections = {},
+                          std::int64_t MalformedAnswers = 0);
 
 } // namespace endivewharf
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -224,7 +224,8 @@
                                    {PeerLinks_.bytesSent(),
                                     PeerLinks_.bytesReceived(),
                                     PeerLinks_.bytesByType()},
-                                   CallerConnections::instance().totals());
+                                   CallerConnections::instance().totals(),
+                                   HttpClient_.malformedAnswers());
             },
             [this] { return State_.Ready_; }};
   }
--- a/tests/broken_answers_test.cpp
+++ b/tests/broken_answers_test.cpp
@@ -274,8 +274,10 @@
       sendHttpRequest("GET", fmt::format("http://127.0.0.1:{}/metrics",
                                          EntryPorts_[0].OperatorPort_))
           .Body_;
-  EXPECT_NE(Metrics.find("protocol_errors_total 1"), std::string::npos)
-      << Metrics;
+  for (const char *Counter : {"protocol_errors", "malformed_answers"})
+    EXPECT_NE(Metrics.find(fmt::format("{}_total 1\n", Counter)),
+              std::string::npos)
+        << Metrics;
   EXPECT_TRUE(waitUntil([&] {
     std::ifstream Log(Folder_ + "/entry-0.log");
     for (std::string Line; std::getline(Log, Line);)
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -131,6 +131,8 @@
     EXPECT_TRUE(Failure == Malformed || (MayBeLeftOver && Failure == Broken))
         << Sample.Name_ << ": " << Failure << " " << detailOf(Last);
     EXPECT_FALSE(detailOf(Last).empty()) << Sample.Name_;
+    CountedCount_ += Failure == Malformed ? 1 : 0;
+    EXPECT_EQ(Client_.malformedAnswers(), CountedCount_) << Sample.Name_;
     for (const EventBody &E : Events_) {
       EXPECT_FALSE(std::holds_alternative<UpstreamNotice>(E)) << Sample.Name_;
       EXPECT_FALSE(std::holds_alternative<ServiceAnswer>(E)) << Sample.Name_;
@@ -170,6 +172,7 @@
   std::unique_ptr<PlatformClient> Platform_;
   std::vector<EventBody> Events_;
   AttemptId LastAttempt_ = 0;
+  std::int64_t CountedCount_ = 0; ///< Malformed answers so far.
 };
 
 } // namespace
@@ -424,6 +427,8 @@
     });
     ASSERT_TRUE(std::holds_alternative<ProbeEnded>(Probe));
     EXPECT_EQ(std::get<ProbeEnded>(Probe).Reached_, IsSound) << Line;
+    CountedCount_ += IsSound ? 0 : 3;
+    EXPECT_EQ(Client_.malformedAnswers(), CountedCount_) << Line;
   }
 }
 
