Names of headers are compared in one place

What a newcomer met: the comparison of header names and the look-up of a field stood in platform/wire, and again in client.cpp and in answerhead.cpp, as files in src/ can't use the platform's. They are in types now, and both use them; no behaviour changes.

--- a/src/answerhead.cpp
+++ b/src/answerhead.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 #include <charconv>
-#include <strings.h>
 
 namespace endivewharf {
 
@@ -16,10 +15,6 @@
 constexpr std::string_view LengthName = "Content-Length";
 constexpr std::string_view CodingName = "Transfer-Encoding";
 
-bool isEqualIgnoringCase(std::string_view A, std::string_view B) {
-  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
-}
-
 bool isBlank(char C) { return C == ' ' || C == '\t'; }
 
 bool isDigit(char C) { return C >= '0' && C <= '9'; }
@@ -51,8 +46,8 @@
 }
 
 bool decidesFraming(std::string_view Name) {
-  return isEqualIgnoringCase(Name, LengthName) ||
-         isEqualIgnoringCase(Name, CodingName);
+  return equalsIgnoreCase(Name, LengthName) ||
+         equalsIgnoreCase(Name, CodingName);
 }
 
 /// @return digits as a number; nothing for other text or more than 63 bits
@@ -69,11 +64,11 @@
 class Framing {
 public:
   std::optional<HeadFault> addField(const Header &Field) {
-    if (isEqualIgnoringCase(Field.Name_, LengthName))
+    if (equalsIgnoreCase(Field.Name_, LengthName))
       return addLengths(Field.Value_);
-    if (!isEqualIgnoringCase(Field.Name_, CodingName))
+    if (!equalsIgnoreCase(Field.Name_, CodingName))
       return std::nullopt;
-    if (HasCoding_ || !isEqualIgnoringCase(Field.Value_, "chunked"))
+    if (HasCoding_ || !equalsIgnoreCase(Field.Value_, "chunked"))
       return HeadFault::TransferCoding;
     HasCoding_ = true;
     return std::nullopt;
--- a/src/answerhead.h
+++ b/src/answerhead.h
@@ -6,7 +6,6 @@
 
 #include "types.h"
 
-#include <cstdint>
 #include <optional>
 #include <string>
 #include <string_view>
--- a/src/client.cpp
+++ b/src/client.cpp
@@ -7,7 +7,6 @@
 
 #include <algorithm>
 #include <chrono>
-#include <cstring>
 #include <ctime>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -66,16 +65,6 @@
   return Opened > 0;
 }
 
-/// @return the value of the first field with this name, or nothing
-std::optional<std::string_view> fieldValue(const Headers &Fields,
-                                           std::string_view Name) {
-  for (const Header &Field : Fields)
-    if (Field.Name_.size() == Name.size() &&
-        strncasecmp(Field.Name_.data(), Name.data(), Name.size()) == 0)
-      return Field.Value_;
-  return std::nullopt;
-}
-
 } // namespace
 
 Millis monotonicNow() {
@@ -466,8 +455,8 @@
   Result.Detail_ = std::move(Detail);
   Result.Status_ = T.Head_.status();
   Result.Headers_ = T.Head_.fields();
-  Result.NotRun_ = fieldValue(Result.Headers_, NotRunHeader).has_value();
-  if (const auto Type = fieldValue(Result.Headers_, ContentTypeHeader))
+  Result.NotRun_ = headerValue(Result.Headers_, NotRunHeader).has_value();
+  if (const auto Type = headerValue(Result.Headers_, ContentTypeHeader))
     Result.ContentType_ = *Type;
   curl_multi_remove_handle(Multi_, T.Easy_);
   TransferByHandle_.erase(T.Easy_);
--- a/src/types.cpp
+++ b/src/types.cpp
@@ -1,9 +1,10 @@
-// Names of the enumerations in logs, JSON and metrics, and the HTTP status of
-// each error.
+// Names of the enumerations in logs, JSON and metrics, the HTTP status of each
+// error, and the names of headers.
 #include "types.h"
-#include <algorithm>
 
+#include <algorithm>
 #include <array>
+#include <strings.h>
 #include <utility>
 
 namespace endivewharf {
@@ -97,6 +98,18 @@
          });
 }
 
+bool equalsIgnoreCase(std::string_view A, std::string_view B) {
+  return A.size() == B.size() && strncasecmp(A.data(), B.data(), A.size()) == 0;
+}
+
+std::optional<std::string_view> headerValue(const Headers &Fields,
+                                            std::string_view Name) {
+  for (const Header &Field : Fields)
+    if (equalsIgnoreCase(Field.Name_, Name))
+      return Field.Value_;
+  return std::nullopt;
+}
+
 std::string_view trimmed(std::string_view Text) {
   constexpr std::string_view WhiteSpace = " \t\r\n";
   const auto First = Text.find_first_not_of(WhiteSpace);
--- a/src/types.h
+++ b/src/types.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -139,6 +140,13 @@
 ///   not empty, has no control characters, and no blank at either end
 bool isHeaderText(std::string_view Text);
 
+/// @return true if the names are equal regardless of letter case
+bool equalsIgnoreCase(std::string_view A, std::string_view B);
+
+/// @return the value of the first header with this name, or nothing
+std::optional<std::string_view> headerValue(const Headers &Fields,
+                                            std::string_view Name);
+
 /// @return the text without leading and trailing white space
 std::string_view trimmed(std::string_view Text);
 
