Lines that say when news of hosts and configurations was confirmed, and by whom

The logs could not tell whether a process heard nothing, heard something older than it said, or waited for its own read. host_list_unconfirmed and operator_log_unconfirmed say why a process reads by itself, host_list_confirmed the end of a silence, host_list_told who sent a list, host_list_read_slow a slow read, leaving_upstream_used an attempt at a host that is known to leave.

--- a/src/dispatch.cpp
+++ b/src/dispatch.cpp
@@ -241,6 +241,9 @@
   if (U.IsPeer_)
     Start.Relay_ = {S.Self_.Name_, C.Account_,
                     std::max(1, C.MaxUpstreams_ - C.UncertainAttempts_ + 1)};
+  if (U.Leaving_)
+    logWarning(Out, "leaving_upstream_used",
+               {{"request", C.RequestId_}, {"upstream", U.Row_.Host_.Name_}});
   if (U.MissingSince_ != 0)
     logEvent(Out, "missing_upstream_used",
              {{"request", C.RequestId_},
--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -376,7 +376,7 @@
       Out_.push_back(SendToPeer{SenderName_, hostsMessage(S_)});
   }
   void operator()(const HostsMessage &Message) const {
-    onHostsMessage(S_, Message, Out_);
+    onHostsMessage(S_, SenderName_, Message, Out_);
   }
 };
 
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -146,6 +146,11 @@
   if (Log.ReachedTail_ && isLargeCluster(S) && !isStoreReader(S) &&
       hasRecentOperatorRead(S))
     return;
+  if (Log.ReachedTail_ && isLargeCluster(S) && !isStoreReader(S))
+    logEvent(Out, "operator_log_unconfirmed",
+             {{"age_ms", std::to_string(S.Now_ - Log.StoreReaderReadAt_)},
+              {"store_readers",
+               std::to_string(S.Membership_.StoreReaders_.size())}});
   Log.Reading_ = true;
   incrementCounter(S, "operator_log_reads");
   Out.push_back(ReadOperatorLog{Log.NextOffset_, isStoreReader(S)
--- a/src/state.h
+++ b/src/state.h
@@ -691,6 +691,8 @@
   /// Time for which a store reader or a peer last confirmed the host list in
   /// use; -1: never.
   Millis HostsConfirmedAt_ = -1;
+  /// Process that confirmed it; empty: none yet.
+  std::string HostsConfirmedBy_;
   /// A store reader has a newer host list that must be read from the store.
   bool HostsOutdated_ = false;
   /// Since when a store reader has had a newer host list; 0: none has.
--- a/src/storereaders.cpp
+++ b/src/storereaders.cpp
@@ -27,6 +27,8 @@
 constexpr Millis HostListUpdateTimeout = 1500;  // ms for a peer's newer list
 constexpr Millis HostListRequestInterval = 300; // ms between two requests
 constexpr Millis StoreReaderRemovalTimeout = 10000; // ms since the last read
+// Time without a confirmation of the host list, in ms, that is logged.
+constexpr Millis LoggedHostListSilence = 1200;
 constexpr std::size_t MaxStoreReaderRows = 4; // all store readers and one spare
 
 StoreReaderRow ownStoreReaderRow(const State &S) {
@@ -44,6 +46,22 @@
   return Row;
 }
 
+/// Records that the host list in use was complete at a time. Logs the end of a
+/// long silence.
+/// @param By process that has read or sent the list
+void confirmHostList(State &S, Millis At, const std::string &By, Effects &Out) {
+  if (At <= S.HostsConfirmedAt_)
+    return;
+  const Millis Silence = At - S.HostsConfirmedAt_;
+  if (S.HostsConfirmedAt_ >= 0 && Silence > LoggedHostListSilence)
+    logEvent(Out, "host_list_confirmed",
+             {{"peer", By},
+              {"age_ms", std::to_string(S.Now_ - At)},
+              {"silent_ms", std::to_string(Silence)}});
+  S.HostsConfirmedAt_ = At;
+  S.HostsConfirmedBy_ = By;
+}
+
 /// Compares a store reader's host list with the list in use here. A newer list
 /// with other contents shows that the one in use is outdated; any other list
 /// confirms it.
@@ -68,7 +86,7 @@
     S.HostsVersion_ = Row.HostsVersion_;
   }
   S.HostsBehindSince_ = 0;
-  S.HostsConfirmedAt_ = std::max(S.HostsConfirmedAt_, S.Now_ - Row.HostsAge_);
+  confirmHostList(S, S.Now_ - Row.HostsAge_, Row.Name_, Out);
 }
 
 /// Merges the row of one store reader, received directly or through others.
@@ -219,14 +237,16 @@
   return Message;
 }
 
-void onHostsMessage(State &S, const HostsMessage &Message, Effects &Out) {
+void onHostsMessage(State &S, const std::string &From,
+                    const HostsMessage &Message, Effects &Out) {
   if (Message.Version_ <= S.HostsVersion_)
     return;
   recordEra(S, Message.Version_, Out);
   adoptHostList(S, Message.Hosts_, Message.Version_, Out);
-  S.HostsConfirmedAt_ = S.Now_;
+  confirmHostList(S, S.Now_, From, Out);
   logEvent(Out, "host_list_told",
-           {{"version", std::to_string(Message.Version_)},
+           {{"peer", From},
+            {"version", std::to_string(Message.Version_)},
             {"hosts", std::to_string(Message.Hosts_.size())}});
 }
 
--- a/src/storereaders.h
+++ b/src/storereaders.h
@@ -36,6 +36,8 @@
 HostsMessage hostsMessage(const State &S);
 
 /// Adopts a peer's host list if it is newer.
-void onHostsMessage(State &S, const HostsMessage &Message, Effects &Out);
+/// @param From name of the peer
+void onHostsMessage(State &S, const std::string &From,
+                    const HostsMessage &Message, Effects &Out);
 
 } // namespace endivewharf
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -34,6 +34,7 @@
 constexpr Millis RelistWindow = 2300; // ms
 // Time in which the entry of a dead host expires after a restore, ms.
 constexpr Millis CopiedEntryExpiry = 5000;
+constexpr Millis LoggedReadTime = 300;   // ms; longer reads are logged
 constexpr Millis NoticeReadPeriod = 250; // ms between reads
 constexpr Millis ProbePeriod = 500;      // ms between probes of one upstream
 constexpr Millis RefusalBackoff = 100;   // ms
@@ -178,6 +179,18 @@
   }
 }
 
+/// Logs why a process that is no store reader reads the list itself.
+void logOwnHostListRead(const State &S, Effects &Out) {
+  if (!S.Settings_.servesPlatform() || S.HostsReadAt_ < 0 || isStoreReader(S))
+    return;
+  logEvent(
+      Out, "host_list_unconfirmed",
+      {{"outdated", S.HostsOutdated_ ? "yes" : "no"},
+       {"age_ms", std::to_string(S.Now_ - S.HostsConfirmedAt_)},
+       {"confirmed_by", S.HostsConfirmedBy_},
+       {"store_readers", std::to_string(S.Membership_.StoreReaders_.size())}});
+}
+
 /// On the platform only the store readers read the list periodically. Other
 /// processes read it when their list is outdated, or when no store reader has
 /// confirmed it for some time.
@@ -263,6 +276,10 @@
       S.HostsVersion_ != 0 && eraOf(E.Version_) > eraOf(S.HostsVersion_);
   if (!EndedEra)
     recordHostListRead(S, NewEra, Out);
+  if (S.Now_ - S.HostsReadAt_ > LoggedReadTime)
+    logEvent(Out, "host_list_read_slow",
+             {{"took_ms", std::to_string(S.Now_ - S.HostsReadAt_)},
+              {"version", std::to_string(E.Version_)}});
   S.HostsReadAt_ = S.Now_;
   if (Older)
     return;
@@ -381,6 +398,7 @@
   tickMissingHosts(S, Out);
   tickCopiedHosts(S);
   if (isHostListReadDue(S)) {
+    logOwnHostListRead(S, Out);
     S.HostsReadAt_ = S.Now_;
     S.HostsOutdated_ = false;
     incrementCounter(S, "host_list_reads");
