Test: news reaches the last process in time while store readers are silent (fails)

What callers saw: requests at hosts that had left, and changes that were not in force, later than the bound. LateKnowledgeTest pauses all store readers, cuts them off one way, lets the store refuse them, or be slow for them and then cuts them off, just after they have read; hosts leave and configurations change just before and within; the fault ends before a process loses touch.

--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -12,6 +12,8 @@
 constexpr std::int64_t UnixMsAtZero = 1'700'000'000'000;
 /// Duration of a call to the store, in ms.
 constexpr Millis StoreCallTime = 50;
+/// Duration of a call to the store by a process that it answers slowly, in ms.
+constexpr Millis SlowStoreCallTime = 800;
 /// Time after which a call to an unreachable store fails, in ms.
 constexpr Millis StoreCallTimeout = 1500;
 /// The same for a read of the host list, which does not wait for records.
@@ -65,11 +67,22 @@
 
 bool PlatformGroup::canReachStore(int I) const {
   return ProcessesWithoutStore_.count(I) == 0 &&
+         MutedProcesses_.count(I) == 0 && RefusedProcesses_.count(I) == 0 &&
          IsolatedProcesses_.count(I) == 0 &&
          IsolatedDataCentres_.count(I % DataCentreCount) == 0;
 }
 
+Millis PlatformGroup::storeCallTime(int I) const {
+  return SlowStoreProcesses_.count(I) > 0 ? SlowStoreCallTime : StoreCallTime;
+}
+
+Millis PlatformGroup::failedCallTime(int I, Millis Timeout) const {
+  return RefusedProcesses_.count(I) > 0 ? StoreCallTime : Timeout;
+}
+
 bool PlatformGroup::canReach(int From, int To) const {
+  if (MutedProcesses_.count(From) > 0)
+    return false;
   if (IsolatedProcesses_.count(From) > 0 || IsolatedProcesses_.count(To) > 0)
     return false;
   const int A = From % DataCentreCount;
@@ -124,7 +137,8 @@
 
 void PlatformGroup::readControlLog(int I, const ReadLog &E, Millis Until) {
   if (!canReachStore(I)) {
-    scheduleEvent(StoreCallTimeout, I, [] { return LogReadFailed{}; });
+    scheduleEvent(failedCallTime(I, StoreCallTimeout), I,
+                  [] { return LogReadFailed{}; });
     return;
   }
   const auto &Log = Store_.ControlLog_;
@@ -140,13 +154,14 @@
        Offset < End; ++Offset)
     Page.Entries_.push_back(
         {Offset, Log[static_cast<std::size_t>(offsetIn(Offset))]});
-  scheduleEvent(StoreCallTime, I, [Page] { return Page; });
+  scheduleEvent(storeCallTime(I), I, [Page] { return Page; });
 }
 
 void PlatformGroup::readOperatorLog(int I, const ReadOperatorLog &E,
                                     Millis Until) {
   if (!canReachStore(I)) {
-    scheduleEvent(StoreCallTimeout, I, [] { return OperatorLogReadFailed{}; });
+    scheduleEvent(failedCallTime(I, StoreCallTimeout), I,
+                  [] { return OperatorLogReadFailed{}; });
     return;
   }
   const auto &Log = Store_.OperatorLog_;
@@ -161,12 +176,12 @@
        Offset < End; ++Offset)
     Page.Entries_.push_back(
         {Offset, Log[static_cast<std::size_t>(offsetIn(Offset))]});
-  scheduleEvent(StoreCallTime, I, [Page] { return Page; });
+  scheduleEvent(storeCallTime(I), I, [Page] { return Page; });
 }
 
 void PlatformGroup::appendToControlLog(int I, const AppendToLog &E) {
   if (!canReachStore(I)) {
-    scheduleEvent(StoreCallTimeout, I, [E] {
+    scheduleEvent(failedCallTime(I, StoreCallTimeout), I, [E] {
       return AppendEnded{E.AppendId_, false};
     });
     return;
@@ -178,7 +193,7 @@
           makePosition(Era_, static_cast<std::int64_t>(Log.size()));
   if (!Refused)
     Log.insert(Log.end(), E.Records_.begin(), E.Records_.end());
-  scheduleEvent(StoreCallTime, I, [E, Refused] {
+  scheduleEvent(storeCallTime(I), I, [E, Refused] {
     return AppendEnded{E.AppendId_, !Refused, Refused};
   });
 }
@@ -189,12 +204,15 @@
     return;
   ++StoreCallCount_;
   const bool Reachable = canReachStore(I);
-  const Millis Duration = Reachable ? StoreCallTime : HostReadTimeout;
+  const Millis Duration =
+      Reachable ? storeCallTime(I) : failedCallTime(I, HostReadTimeout);
   Processes_[I].HostsReadUntil_ = Now_ + Duration;
   if (Reachable)
-    scheduleEvent(Duration, I, [this] {
-      return HostsRead{Store_.Hosts_, makePosition(Era_, Store_.HostsEnd_)};
-    });
+    scheduleEvent(Duration, I,
+                  [Read = HostsRead{Store_.Hosts_,
+                                    makePosition(Era_, Store_.HostsEnd_)}] {
+                    return Read;
+                  });
   else
     scheduleEvent(Duration, I, [] { return HostsReadFailed{}; });
 }
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -93,6 +93,13 @@
   /// Processes that can reach neither the store nor any peer; callers still
   /// reach them.
   std::set<int> IsolatedProcesses_;
+  /// Processes that hear the others, but whose messages and requests to the
+  /// store are lost.
+  std::set<int> MutedProcesses_;
+  /// Processes whose calls the store refuses at once.
+  std::set<int> RefusedProcesses_;
+  /// Processes for which a call to the store takes SlowStoreCallTime.
+  std::set<int> SlowStoreProcesses_;
   double PeerMessageLossFraction_ = 0; ///< Fraction of messages that are lost.
   /// Tokens by which all processes together may exceed a quota; taken over by
   /// processes that start later.
@@ -140,6 +147,11 @@
   void readHosts(int I);
   void appendOperatorRecord(decltype(OperatorEntry::Content_) Record);
   bool canReachStore(int I) const;
+  /// @return duration in ms of a call that the store answers or refuses
+  Millis storeCallTime(int I) const;
+  /// @param Timeout time in ms after which a call to an unreachable store fails
+  /// @return duration in ms of a call that fails
+  Millis failedCallTime(int I, Millis Timeout) const;
   bool canReach(int From, int To) const;
 
   std::vector<Process> Processes_;
