Store readers are processes of different data centres

What callers saw: hosts that had left got requests, and configurations were not in force, later than the bound. Change: the first by rank of each data centre comes first, then the rest. The order does not depend on who is asking, so all processes agree.

--- a/src/membership.cpp
+++ b/src/membership.cpp
@@ -20,6 +20,7 @@
 
 #include <algorithm>
 #include <fmt/format.h>
+#include <set>
 #include <xxhash.h>
 
 namespace endivewharf {
@@ -295,6 +296,31 @@
   Out.push_back(ReconnectPeer{To.Row_.Instance_.Name_});
 }
 
+/// A process that reads the store, or would.
+struct ReaderCandidate {
+  std::uint64_t Rank_ = 0;
+  std::string DataCentre_;
+  bool IsSelf_ = false;
+};
+
+/// Chooses the first candidate by rank of each data centre, so that the cut of
+/// one leaves store readers in others, and then the first of the rest.
+/// @return true if this process is among the StoreReaderCount chosen ones
+bool isChosenReader(std::vector<ReaderCandidate> Candidates) {
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const auto &A, const auto &B) { return A.Rank_ < B.Rank_; });
+  std::set<std::string> DataCentres;
+  std::stable_partition(Candidates.begin(), Candidates.end(),
+                        [&](const ReaderCandidate &C) {
+                          return DataCentres.insert(C.DataCentre_).second;
+                        });
+  const auto Self =
+      std::find_if(Candidates.begin(), Candidates.end(),
+                   [](const ReaderCandidate &C) { return C.IsSelf_; });
+  return Self - Candidates.begin() <
+         static_cast<std::ptrdiff_t>(StoreReaderCount);
+}
+
 /// Handles each type of message from a peer.
 struct MessageVisitor {
   State &S_;
@@ -422,19 +448,20 @@
 bool isStoreReader(const State &S) {
   if (estimatedClusterSize(S) <= StoreReaderCount + 1)
     return true;
-  const std::uint64_t Own = storeReaderRank(S.Self_.Name_);
   const Millis Timeout =
       isLargeCluster(S) ? LargeClusterStoreReaderTimeout : StoreReaderTimeout;
-  const auto Preceding = std::count_if(
-      S.Membership_.StoreReaders_.begin(), S.Membership_.StoreReaders_.end(),
-      [&](const auto &Entry) {
-        const auto Known = S.Membership_.Peers_.find(Entry.first);
-        const bool Draining =
-            Known != S.Membership_.Peers_.end() && Known->second.Row_.Draining_;
-        return S.Now_ - Entry.second.HostsReadAt_ < Timeout && !Draining &&
-               storeReaderRank(Entry.first) < Own;
-      });
-  return Preceding < static_cast<std::ptrdiff_t>(StoreReaderCount);
+  std::vector<ReaderCandidate> Candidates{
+      {storeReaderRank(S.Self_.Name_), S.Settings_.DataCentre_, true}};
+  for (const auto &[Name, Reader] : S.Membership_.StoreReaders_) {
+    const auto Known = S.Membership_.Peers_.find(Name);
+    const bool IsPeer = Known != S.Membership_.Peers_.end();
+    const bool Draining = IsPeer && Known->second.Row_.Draining_;
+    if (S.Now_ - Reader.HostsReadAt_ < Timeout && !Draining)
+      Candidates.push_back(
+          {storeReaderRank(Name),
+           IsPeer ? Known->second.Row_.DataCentre_ : std::string(), false});
+  }
+  return isChosenReader(std::move(Candidates));
 }
 
 void applyJoin(State &S, const JoinRecord &R, Effects &Out) {
