A view of the store has a budget of age, which the operators' bound sets

What callers saw: requests at hosts that had left later than drainMs (DRAIN), and configurations not in force within configApplyMs (CONFIG). Cause: the steps from the store's acknowledgement to the last process were each a constant of their own, and nobody added them up: a process that hears nothing of the store readers waited 3,000 ms before its own read, which is the whole bound of three deployments, and a list that a peer sent, or a read that took long, counted as new when it arrived. One cause for both rules. Class: a deadline over a chain of processes that nobody adds up.

Change: settings leaving_limit and config_limit state the bounds, and freshness.h divides them: a process that is no store reader reads when its view is 0.45 to 0.6 of the bound old, spread by rank, and publishes what it has read, so that most of the others need not; a read that is silent for a tenth of it gets a second one on a new connection; what a read or a peer's list says counts from the moment for which it was complete. Own reads of the operator log are answered at once; before, one waited up to 10 s and blocked the next.

RemovedHostTest and RestoredStoreTest pass.

--- a/src/codec.cpp
+++ b/src/codec.cpp
@@ -307,6 +307,7 @@
   F("version", R.Version_);
   F("hosts", R.Hosts_);
   F("reserved", R.Reserved_);
+  F("age", R.Age_);
 }
 template <SameIgnoringConst<FactsMessage> T, typename V>
 void visitFields(T &R, V &&F) {
--- a/src/effect.h
+++ b/src/effect.h
@@ -166,6 +166,7 @@
 struct ReadOperatorLog {
   LogOffset FromOffset_ = 0;
   Millis MaxWait_ = 1000; ///< Longest wait for records at the log's tail.
+  bool Second_ = false;   ///< Beside a silent read, on a new connection.
 };
 
 /// Publishes the status of a rollout for operators.
@@ -194,7 +195,9 @@
   Millis ValidUntil_ = 0; ///< End of the lease, after which it is not sent.
 };
 
-struct ReadHosts {};
+struct ReadHosts {
+  bool Second_ = false; ///< Beside a silent read, on a new connection.
+};
 
 struct ReadReclaimNotices {};
 
--- a/src/event.h
+++ b/src/event.h
@@ -171,6 +171,9 @@
   std::vector<OperatorEntry> Entries_;
   /// The entries are the newest of each key, not those since the last read.
   bool NewestPerKey_ = false;
+  /// Moment on the monotonic clock, in ms, for which it is complete; below 0:
+  /// the time of the event.
+  Millis CompleteAt_ = -1;
 };
 
 struct OperatorLogReadFailed {};
@@ -185,6 +188,9 @@
 struct HostsRead {
   std::vector<HostRow> Hosts_;
   LogOffset Version_ = 0; ///< Version of the list; 0: unknown.
+  /// Moment on the monotonic clock, in ms, for which it is complete; below 0:
+  /// the time of the event.
+  Millis CompleteAt_ = -1;
 };
 
 struct HostsReadFailed {};
--- a/src/messages.h
+++ b/src/messages.h
@@ -373,6 +373,8 @@
   LogOffset Version_ = 0;
   std::vector<HostRow> Hosts_;
   ReservedField Reserved_;
+  /// Time since the list was complete, in ms; below 0: unknown.
+  Millis Age_ = -1;
 };
 
 /// Facts and evidence. Merging is idempotent and commutative.
--- a/src/operatorlog.cpp
+++ b/src/operatorlog.cpp
@@ -5,6 +5,7 @@
 #include "aggregators.h"
 #include "controllog.h"
 #include "diagnostics.h"
+#include "freshness.h"
 #include "membership.h"
 #include "requestlimits.h"
 #include "restore.h"
@@ -17,13 +18,33 @@
 
 namespace {
 
-// Time from a failed read to the next one, and longest time that a read waits
-// for entries, ms. Store readers use short times to detect an outage soon. The
-// others receive what the store readers have read before their own reads end.
-constexpr Millis StoreReaderRetryPeriod = 250;
-constexpr Millis NonReaderRetryPeriod = 1000;
-constexpr Millis StoreReaderPollTimeout = 1500;
-constexpr Millis NonReaderPollTimeout = 10000;
+// Time from a store reader's failed read to the next one.
+constexpr Millis StoreReaderRetryPeriod = 250; // ms
+// Longest time that a read waits for entries in a small cluster, ms.
+constexpr Millis SmallClusterPollTimeout = 1500;
+
+/// Longest time that the next read waits for entries, in ms. In a large cluster
+/// the reads of store readers tell the others how recent their view is, and
+/// those of the others are answered at once for the same reason.
+Millis pollTimeout(const State &S) {
+  if (!isLargeCluster(S))
+    return SmallClusterPollTimeout;
+  return isStoreReader(S)
+             ? freshnessBudget(S.Settings_.Bounds_.ConfigLimit_).ReadPeriod_
+             : 0;
+}
+
+/// @return true if the read in progress has been silent for so long that a
+/// second one should begin beside it
+bool isSecondReadDue(const State &S) {
+  const OperatorLogState &Log = S.OperatorLog_;
+  const FreshnessBudget Budget =
+      freshnessBudget(S.Settings_.Bounds_.ConfigLimit_);
+  return Log.Reading_ && !Log.SecondRead_ && Log.Available_ &&
+         S.Now_ - Log.LastReadAt_ >= Budget.OwnReadAge_ &&
+         S.Now_ - Log.ReadStartedAt_ >=
+             Log.ReadMaxWait_ + Budget.SecondReadDelay_;
+}
 
 /// @return true if some upstream is in a data centre that is not evacuated
 bool hasUpstreamElsewhere(const State &S) {
@@ -107,11 +128,13 @@
 void onOperatorLogRead(State &S, const OperatorLogRead &E, Effects &Out) {
   OperatorLogState &Log = S.OperatorLog_;
   Log.Reading_ = false;
+  Log.SecondRead_ = false;
   if (!Log.Available_)
     logEvent(Out, "operator_log_available", {});
   Log.Available_ = true;
   Log.ReachedTail_ = true;
-  Log.LastReadAt_ = S.Now_;
+  Log.LastReadAt_ =
+      std::max(Log.LastReadAt_, E.CompleteAt_ < 0 ? S.Now_ : E.CompleteAt_);
   recordEra(S, E.NextOffset_, Out);
   for (const OperatorEntry &Entry : E.Entries_)
     std::visit(OperatorEntryVisitor{S, Entry.Offset_, Out}, Entry.Content_);
@@ -129,33 +152,44 @@
 void onOperatorLogReadFailed(State &S, Effects &Out) {
   OperatorLogState &Log = S.OperatorLog_;
   Log.Reading_ = false;
+  Log.SecondRead_ = false;
   if (Log.Available_)
     logWarning(Out, "operator_log_unavailable",
                {{"age_ms", std::to_string(S.Now_ - Log.LastReadAt_)}});
   Log.Available_ = false;
-  Log.RetryAt_ = S.Now_ + (isStoreReader(S) ? StoreReaderRetryPeriod
-                                            : NonReaderRetryPeriod);
+  const Millis Bound = S.Settings_.Bounds_.ConfigLimit_;
+  Log.RetryAt_ = isStoreReader(S)
+                     ? S.Now_ + StoreReaderRetryPeriod
+                     : Log.ReadStartedAt_ + freshnessBudget(Bound).RetryPeriod_;
 }
 
 void startOperatorLogRead(State &S, Effects &Out) {
   OperatorLogState &Log = S.OperatorLog_;
-  if (!S.Settings_.servesPlatform() || Log.Reading_ || S.Now_ < Log.RetryAt_)
+  if (!S.Settings_.servesPlatform())
+    return;
+  if (isSecondReadDue(S)) {
+    Log.SecondRead_ = true;
+    incrementCounter(S, "operator_log_reads");
+    Out.push_back(ReadOperatorLog{Log.NextOffset_, 0, true});
+    return;
+  }
+  if (Log.Reading_ || S.Now_ < Log.RetryAt_)
     return;
   // In a large cluster the reports of the store readers replace own reads as
   // long as they are recent.
-  if (Log.ReachedTail_ && isLargeCluster(S) && !isStoreReader(S) &&
-      hasRecentOperatorRead(S))
-    return;
-  if (Log.ReachedTail_ && isLargeCluster(S) && !isStoreReader(S))
+  if (Log.ReachedTail_ && isLargeCluster(S) && !isStoreReader(S)) {
+    if (hasRecentOperatorRead(S))
+      return;
     logEvent(Out, "operator_log_unconfirmed",
-             {{"age_ms", std::to_string(S.Now_ - Log.StoreReaderReadAt_)},
+             {{"age_ms", std::to_string(S.Now_ - Log.LastReadAt_)},
               {"store_readers",
                std::to_string(S.Membership_.StoreReaders_.size())}});
+  }
   Log.Reading_ = true;
+  Log.ReadStartedAt_ = S.Now_;
+  Log.ReadMaxWait_ = pollTimeout(S);
   incrementCounter(S, "operator_log_reads");
-  Out.push_back(ReadOperatorLog{Log.NextOffset_, isStoreReader(S)
-                                                     ? StoreReaderPollTimeout
-                                                     : NonReaderPollTimeout});
+  Out.push_back(ReadOperatorLog{Log.NextOffset_, Log.ReadMaxWait_});
 }
 
 } // namespace endivewharf
--- a/src/server.cpp
+++ b/src/server.cpp
@@ -175,9 +175,9 @@
     else
       PlatformClient_.appendToLog(E);
   }
-  void operator()(const ReadHosts &) {
+  void operator()(const ReadHosts &E) {
     if (Adapter_)
-      Adapter_->StoreClient_.readHosts();
+      Adapter_->StoreClient_.readHosts(E);
     else
       PlatformClient_.readHosts();
   }
--- a/src/settings.h
+++ b/src/settings.h
@@ -78,6 +78,12 @@
   double QuotaExcess_ = 0;
   double QuotaSlack_ = 0; ///< Further units by which all processes together may
                           ///< exceed a quota.
+  /// Time from the acknowledgement of a host's leaving within which all
+  /// processes must stop sending to it.
+  Millis LeavingLimit_ = 4000;
+  /// Time from the acknowledgement of a configuration within which all
+  /// processes must apply it.
+  Millis ConfigLimit_ = 4000;
   Millis UsageWindow_ = 5000; ///< Period that one usage report covers.
   /// Time after the end of a usage window within which its report must arrive.
   Millis UsageReportTimeout_ = 10000;
--- a/src/state.h
+++ b/src/state.h
@@ -301,12 +301,16 @@
 struct OperatorLogState {
   LogOffset NextOffset_ = 0; ///< Offset to read next.
   bool Reading_ = false;
-  bool Available_ = false; ///< The last read succeeded.
+  bool SecondRead_ = false;  ///< A second read is in progress beside it.
+  Millis ReadStartedAt_ = 0; ///< Start of the read in progress.
+  Millis ReadMaxWait_ = 0;   ///< Time for which that waits for entries.
+  bool Available_ = false;   ///< The last read succeeded.
   bool ReachedTail_ = false;
   Millis RetryAt_ = 0; ///< Earliest next read after a failure.
-  /// End of the last read by this process or a store reader; -1: none yet.
+  /// Moment for which this process or a store reader last knew all entries;
+  /// -1: none yet.
   Millis LastReadAt_ = -1;
-  /// Time of the latest read that store readers have reported; -1: none yet.
+  /// The same as store readers and peers have reported it; -1: none yet.
   Millis StoreReaderReadAt_ = -1;
 };
 
@@ -704,6 +708,10 @@
   LogOffset HostsVersion_ = 0;
   /// Since when the reads of this process have not failed; -1: no read yet.
   Millis HostsReadableSince_ = -1;
+  /// A read of the platform's host list is in progress, or a second one beside
+  /// it.
+  bool HostsReading_ = false;
+  bool HostsSecondRead_ = false;
   bool HostsRecovered_ = false; ///< That time began after a failed read.
   StoreService StoreService_;
   /// A missing host still gets work, because the store has just recovered.
--- a/src/storereaders.cpp
+++ b/src/storereaders.cpp
@@ -5,6 +5,7 @@
 
 #include "aggregators.h"
 #include "diagnostics.h"
+#include "freshness.h"
 #include "membership.h"
 #include "restore.h"
 #include "upstreams.h"
@@ -21,9 +22,6 @@
 constexpr Millis LargeClusterMaxHostListAge = 2500;
 // Longer than the time between two reads of store readers, ms.
 constexpr Millis MinOutage = 1100;
-// Age of the store readers' last read of the operator log, in ms, after which
-// this process reads the log itself.
-constexpr Millis MaxOperatorReadAge = 3000;
 constexpr Millis HostListUpdateTimeout = 1500;  // ms for a peer's newer list
 constexpr Millis HostListRequestInterval = 300; // ms between two requests
 constexpr Millis StoreReaderRemovalTimeout = 10000; // ms since the last read
@@ -46,20 +44,10 @@
   return Row;
 }
 
-/// Records that the host list in use was complete at a time. Logs the end of a
-/// long silence.
-/// @param By process that has read or sent the list
-void confirmHostList(State &S, Millis At, const std::string &By, Effects &Out) {
-  if (At <= S.HostsConfirmedAt_)
-    return;
-  const Millis Silence = At - S.HostsConfirmedAt_;
-  if (S.HostsConfirmedAt_ >= 0 && Silence > LoggedHostListSilence)
-    logEvent(Out, "host_list_confirmed",
-             {{"peer", By},
-              {"age_ms", std::to_string(S.Now_ - At)},
-              {"silent_ms", std::to_string(Silence)}});
-  S.HostsConfirmedAt_ = At;
-  S.HostsConfirmedBy_ = By;
+/// @return true if this process publishes what it has read: it is a store
+/// reader, or none of them has read as recently as it has
+bool publishesReads(const State &S) {
+  return isStoreReader(S) || S.HostsCompleteAt_ >= S.HostsConfirmedAt_;
 }
 
 /// Compares a store reader's host list with the list in use here. A newer list
@@ -138,6 +126,19 @@
 
 } // namespace
 
+void confirmHostList(State &S, Millis At, const std::string &By, Effects &Out) {
+  if (At <= S.HostsConfirmedAt_)
+    return;
+  const Millis Silence = At - S.HostsConfirmedAt_;
+  if (S.HostsConfirmedAt_ >= 0 && Silence > LoggedHostListSilence)
+    logEvent(Out, "host_list_confirmed",
+             {{"peer", By},
+              {"age_ms", std::to_string(S.Now_ - At)},
+              {"silent_ms", std::to_string(Silence)}});
+  S.HostsConfirmedAt_ = At;
+  S.HostsConfirmedBy_ = By;
+}
+
 std::uint64_t hostsHash(const State &S) {
   std::uint64_t Sum = 1;
   for (const Upstream &U : S.Upstreams_)
@@ -158,7 +159,7 @@
   const bool HasRecentList = S.HostsCompleteAt_ >= 0 &&
                              S.HostsFailingSince_ == 0 &&
                              S.Now_ - S.HostsCompleteAt_ < MaxAge;
-  if (isStoreReader(S) && HasRecentList) {
+  if (HasRecentList && publishesReads(S)) {
     To.StoreReaders_.push_back(ownStoreReaderRow(S));
     To.HostsHash_ = To.StoreReaders_.front().HostsHash_;
     To.HostsVersion_ = S.HostsVersion_;
@@ -209,8 +210,9 @@
 }
 
 bool hasRecentOperatorRead(const State &S) {
-  return S.OperatorLog_.StoreReaderReadAt_ >= 0 &&
-         S.Now_ - S.OperatorLog_.StoreReaderReadAt_ < MaxOperatorReadAge;
+  return S.OperatorLog_.LastReadAt_ >= 0 &&
+         S.Now_ - S.OperatorLog_.LastReadAt_ <
+             ownReadAge(S.Self_.Name_, S.Settings_.Bounds_.ConfigLimit_);
 }
 
 void recordStoreService(State &S, Millis From, Millis To, bool Recovered,
@@ -231,6 +233,8 @@
 HostsMessage hostsMessage(const State &S) {
   HostsMessage Message;
   Message.Version_ = S.HostsVersion_;
+  if (S.HostsConfirmedAt_ >= 0)
+    Message.Age_ = S.Now_ - S.HostsConfirmedAt_;
   for (const Upstream &U : S.Upstreams_)
     if (U.InLatestList_)
       Message.Hosts_.push_back(U.Row_);
@@ -243,10 +247,12 @@
     return;
   recordEra(S, Message.Version_, Out);
   adoptHostList(S, Message.Hosts_, Message.Version_, Out);
-  confirmHostList(S, S.Now_, From, Out);
+  if (Message.Age_ >= 0)
+    confirmHostList(S, S.Now_ - Message.Age_, From, Out);
   logEvent(Out, "host_list_told",
            {{"peer", From},
             {"version", std::to_string(Message.Version_)},
+            {"age_ms", std::to_string(Message.Age_)},
             {"hosts", std::to_string(Message.Hosts_.size())}});
 }
 
--- a/src/storereaders.h
+++ b/src/storereaders.h
@@ -8,6 +8,12 @@
 
 namespace endivewharf {
 
+/// Records that the host list in use was complete at a time. Logs the end of a
+/// long silence.
+/// @param At that time, in ms on this process's clock
+/// @param By process that has read or sent the list
+void confirmHostList(State &S, Millis At, const std::string &By, Effects &Out);
+
 /// Hash of the host list in use; equal lists have equal hashes.
 std::uint64_t hostsHash(const State &S);
 
@@ -28,8 +34,8 @@
 void recordStoreService(State &S, Millis From, Millis To, bool Recovered,
                         Effects &Out);
 
-/// @return true if a store reader has read the operator log recently, so that
-/// this process need not read it
+/// @return true if a store reader or this process has read the operator log
+/// recently, so that this process need not read it
 bool hasRecentOperatorRead(const State &S);
 
 /// The host list in use, for a peer whose list is older.
--- a/src/upstreams.cpp
+++ b/src/upstreams.cpp
@@ -4,6 +4,7 @@
 
 #include "aggregators.h"
 #include "diagnostics.h"
+#include "freshness.h"
 #include "membership.h"
 #include "requestlimits.h"
 #include "restore.h"
@@ -19,15 +20,10 @@
 namespace {
 
 constexpr Millis HostListReadPeriod = 500; // ms between reads
-// Longer in a large cluster: three store readers read the list at different
-// times and publish changes to the peers at once.
-constexpr Millis LargeClusterHostListReadPeriod = 1000;          // ms
-constexpr Millis LargeClusterHostListConfirmationTimeout = 3000; // ms
 // Interval between reads while the list in use is known to be outdated.
 constexpr Millis ChangedHostListReadPeriod = 250; // ms
-// Time without a store reader's confirmation of the list after which a process
-// that is no store reader reads it itself.
-constexpr Millis HostListConfirmationTimeout = 1200; // ms
+// Longest read of the host list, after which its outcome counts as lost.
+constexpr Millis MaxHostListReadTime = 4000; // ms
 // Longest time between two reads of a store reader, ms.
 constexpr Millis MaxReadGap = 2500;
 // Time after a store outage in which entries that expired are listed again.
@@ -198,15 +194,47 @@
   if (S.HostsReadAt_ < 0)
     return true;
   const Millis Age = S.Now_ - S.HostsReadAt_;
-  const bool Large = isLargeCluster(S);
-  if (!S.Settings_.servesPlatform() || isStoreReader(S))
-    return Age >= (Large ? LargeClusterHostListReadPeriod : HostListReadPeriod);
+  if (!S.Settings_.servesPlatform())
+    return Age >= HostListReadPeriod;
+  if (S.HostsReading_ && Age < MaxHostListReadTime)
+    return false;
+  const Millis Bound = S.Settings_.Bounds_.LeavingLimit_;
+  // In a large cluster three store readers read the list at different times and
+  // publish changes to the peers at once.
+  if (isStoreReader(S))
+    return Age >= (isLargeCluster(S) ? freshnessBudget(Bound).ReadPeriod_
+                                     : HostListReadPeriod);
   if (S.HostsOutdated_)
     return Age >= ChangedHostListReadPeriod;
-  return Age >= HostListReadPeriod &&
-         S.Now_ - S.HostsConfirmedAt_ >=
-             (Large ? LargeClusterHostListConfirmationTimeout
-                    : HostListConfirmationTimeout);
+  return Age >= freshnessBudget(Bound).RetryPeriod_ &&
+         S.Now_ - S.HostsConfirmedAt_ >= ownReadAge(S.Self_.Name_, Bound);
+}
+
+/// @return true if the read in progress has been silent for so long that a
+/// second one should begin beside it
+bool isSecondHostListReadDue(const State &S) {
+  const FreshnessBudget Budget =
+      freshnessBudget(S.Settings_.Bounds_.LeavingLimit_);
+  return S.HostsReading_ && !S.HostsSecondRead_ && S.HostsFailingSince_ == 0 &&
+         S.Now_ - S.HostsConfirmedAt_ >= Budget.OwnReadAge_ &&
+         S.Now_ - S.HostsReadAt_ >= Budget.SecondReadDelay_;
+}
+
+/// Reads the host list if that is due.
+void tickHostList(State &S, Effects &Out) {
+  if (isHostListReadDue(S)) {
+    logOwnHostListRead(S, Out);
+    S.HostsReadAt_ = S.Now_;
+    S.HostsOutdated_ = false;
+    S.HostsReading_ = S.Settings_.servesPlatform();
+    S.HostsSecondRead_ = false;
+    incrementCounter(S, "host_list_reads");
+    Out.push_back(ReadHosts{});
+  } else if (isSecondHostListReadDue(S)) {
+    S.HostsSecondRead_ = true;
+    incrementCounter(S, "host_list_reads");
+    Out.push_back(ReadHosts{true});
+  }
 }
 
 } // namespace
@@ -276,18 +304,22 @@
       S.HostsVersion_ != 0 && eraOf(E.Version_) > eraOf(S.HostsVersion_);
   if (!EndedEra)
     recordHostListRead(S, NewEra, Out);
-  if (S.Now_ - S.HostsReadAt_ > LoggedReadTime)
+  if (S.HostsReading_ && S.Now_ - S.HostsReadAt_ > LoggedReadTime)
     logEvent(Out, "host_list_read_slow",
              {{"took_ms", std::to_string(S.Now_ - S.HostsReadAt_)},
               {"version", std::to_string(E.Version_)}});
-  S.HostsReadAt_ = S.Now_;
+  S.HostsReading_ = false;
+  const Millis CompleteAt = E.CompleteAt_ < 0 ? S.Now_ : E.CompleteAt_;
+  S.HostsReadAt_ = CompleteAt;
   if (Older)
     return;
   adoptHostList(S, E.Hosts_, E.Version_, Out);
-  S.HostsCompleteAt_ = S.Now_;
+  S.HostsCompleteAt_ = std::max(S.HostsCompleteAt_, CompleteAt);
+  confirmHostList(S, S.HostsCompleteAt_, S.Self_.Name_, Out);
 }
 
 void onHostsReadFailed(State &S, Effects &Out) {
+  S.HostsReading_ = false;
   S.HostsFailedAt_ = S.Now_;
   if (S.HostsFailingSince_ != 0)
     return;
@@ -397,13 +429,7 @@
 void tickUpstreams(State &S, Effects &Out) {
   tickMissingHosts(S, Out);
   tickCopiedHosts(S);
-  if (isHostListReadDue(S)) {
-    logOwnHostListRead(S, Out);
-    S.HostsReadAt_ = S.Now_;
-    S.HostsOutdated_ = false;
-    incrementCounter(S, "host_list_reads");
-    Out.push_back(ReadHosts{});
-  }
+  tickHostList(S, Out);
   // On the platform the host list says which hosts are leaving.
   const bool HasCloud =
       !S.Settings_.CloudUrl_.empty() && !S.Settings_.servesPlatform();
--- a/tests/late_knowledge_test.cpp
+++ b/tests/late_knowledge_test.cpp
@@ -1,6 +1,7 @@
 // Tests when the last process knows that a host leaves and that a configuration
 // is in force, by number of processes: beside store readers that are paused,
 // cut off, refused or slow.
+#include "freshness.h"
 #include "membership.h"
 #include "platformgroup.h"
 #include "samples.h"
@@ -52,6 +53,7 @@
     Group_ = std::make_unique<PlatformGroup>(Size, Config);
     for (int I = 0; I < HostCount; ++I)
       Hosts_.push_back(sampleHost("o" + std::to_string(I), "orders", "a", 1));
+    Group_->KnowledgeLimit_ = Bound_;
     Group_->setHosts(Hosts_);
     run(WarmUpTime);
   }
@@ -251,6 +253,23 @@
   expectAllKnewInTime();
 }
 
+TEST(FreshnessBudgetTest, steps_inSequence_addUpToLessThanTheBound) {
+  for (const Millis Bound : {2000, 3000, 4000, 8000}) {
+    const FreshnessBudget Budget = freshnessBudget(Bound);
+    const Millis LastOwnRead = Budget.OwnReadAge_ + Budget.OwnReadSpread_;
+    // A silent read and the one beside it.
+    EXPECT_LE(LastOwnRead + Budget.SecondReadDelay_ + Budget.AnswerTime_ +
+                  Budget.PassOnTime_,
+              Bound);
+    // A failed read and the next one.
+    EXPECT_LE(LastOwnRead + Budget.RetryPeriod_ + Budget.AnswerTime_, Bound);
+    // A process that hears of each read has no reason for its own.
+    EXPECT_LE(Budget.ReadPeriod_, Budget.OwnReadAge_);
+    EXPECT_GE(ownReadAge("entry-1", Bound), Budget.OwnReadAge_);
+    EXPECT_LE(ownReadAge("entry-1", Bound), LastOwnRead);
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(Sizes, LateKnowledgeTest,
                          ::testing::Values(4, 31, 119));
 
--- a/tests/malformed_answers_test.cpp
+++ b/tests/malformed_answers_test.cpp
@@ -346,7 +346,7 @@
         })))
         << Sample.Name_;
     EXPECT_TRUE(std::holds_alternative<HostsReadFailed>(
-        Client([](StoreClient &C) { C.readHosts(); })))
+        Client([](StoreClient &C) { C.readHosts({}); })))
         << Sample.Name_;
     const EventBody Append = Client([](StoreClient &C) {
       C.appendToControlLog({1, {LeaseRenewRecord{}}, 4});
--- a/tests/platformgroup.cpp
+++ b/tests/platformgroup.cpp
@@ -50,10 +50,13 @@
   ProcessSettings.Limits_.DrainTimeout_ = 8000;
   ProcessSettings.Bounds_.QuotaExcess_ = 0.1;
   ProcessSettings.Bounds_.QuotaSlack_ = QuotaSlackTokens_;
+  ProcessSettings.Bounds_.LeavingLimit_ = KnowledgeLimit_;
+  ProcessSettings.Bounds_.ConfigLimit_ = KnowledgeLimit_;
   ProcessSettings.Bounds_.ColdFactor_ = ColdFactor_;
   ProcessSettings.Bounds_.ColdSlack_ = ColdSlack_;
   P.State_ = makeState(ProcessSettings, P.Incarnation_);
-  P.HostsReadUntil_ = 0;
+  P.HostReads_ = 0;
+  ++P.HostReadRace_;
   P.Running_ = true;
   ProcessByAddress_["10.0.0." + std::to_string(I) + ":7000"] = I;
 }
@@ -171,7 +174,7 @@
     scheduleNextStep(I, [this, I, E, Until] { readOperatorLog(I, E, Until); });
     return;
   }
-  OperatorLogRead Page{End, {}};
+  OperatorLogRead Page{End, {}, false, Now_};
   for (LogOffset Offset = std::max(E.FromOffset_, makePosition(Era_, 0));
        Offset < End; ++Offset)
     Page.Entries_.push_back(
@@ -198,23 +201,40 @@
   });
 }
 
-void PlatformGroup::readHosts(int I) {
-  // As the client of the store does, one read at a time.
-  if (Now_ < Processes_[I].HostsReadUntil_)
+void PlatformGroup::readHosts(int I, bool Second) {
+  Process &P = Processes_[I];
+  // As the client of the store does: a second read beside a silent one.
+  if (P.HostReads_ != (Second ? 1 : 0))
     return;
+  ++P.HostReads_;
   ++StoreCallCount_;
   const bool Reachable = canReachStore(I);
   const Millis Duration =
       Reachable ? storeCallTime(I) : failedCallTime(I, HostReadTimeout);
-  Processes_[I].HostsReadUntil_ = Now_ + Duration;
-  if (Reachable)
-    scheduleEvent(Duration, I,
-                  [Read = HostsRead{Store_.Hosts_,
-                                    makePosition(Era_, Store_.HostsEnd_)}] {
-                    return Read;
-                  });
-  else
-    scheduleEvent(Duration, I, [] { return HostsReadFailed{}; });
+  // The answer is what the store held when it was asked.
+  HostsRead Read{Store_.Hosts_, makePosition(Era_, Store_.HostsEnd_), Now_};
+  const std::uint64_t Incarnation = P.Incarnation_;
+  ScheduledTasks_.emplace(Now_ + Duration, [this, I, Incarnation, Reachable,
+                                            Race = P.HostReadRace_,
+                                            Read = std::move(Read)] {
+    endHostRead(I, Incarnation, Race, Reachable ? &Read : nullptr);
+  });
+}
+
+void PlatformGroup::endHostRead(int I, std::uint64_t Incarnation, int Race,
+                                const HostsRead *Read) {
+  Process &P = Processes_[I];
+  if (!P.Running_ || P.Incarnation_ != Incarnation || P.HostReadRace_ != Race)
+    return;
+  --P.HostReads_;
+  if (Read == nullptr) {
+    if (P.HostReads_ == 0)
+      scheduleEvent(0, I, [] { return HostsReadFailed{}; });
+    return;
+  }
+  ++P.HostReadRace_;
+  P.HostReads_ = 0;
+  scheduleEvent(0, I, [Answer = *Read] { return Answer; });
 }
 
 void PlatformGroup::answerAttempt(int I, const StartAttempt &Start) {
@@ -254,8 +274,8 @@
   } else if (const auto *Append = std::get_if<AppendToLog>(&E)) {
     ++StoreCallCount_;
     appendToControlLog(I, *Append);
-  } else if (std::holds_alternative<ReadHosts>(E)) {
-    readHosts(I);
+  } else if (const auto *Hosts = std::get_if<ReadHosts>(&E)) {
+    readHosts(I, Hosts->Second_);
   } else if (const auto *Usage = std::get_if<ReportUsage>(&E)) {
     ++ControlCallCount_;
     ReportedUsage_[Usage->Window_] = Usage->Counts_;
--- a/tests/platformgroup.h
+++ b/tests/platformgroup.h
@@ -104,6 +104,9 @@
   /// Tokens by which all processes together may exceed a quota; taken over by
   /// processes that start later.
   double QuotaSlackTokens_ = 500;
+  /// Time in ms within which all processes know of a change; taken over by
+  /// processes that start later.
+  Millis KnowledgeLimit_ = 4000;
   /// Bound of cold hosts; taken over by processes that start later.
   double ColdFactor_ = 0;
   double ColdSlack_ = 0; ///< Requests per second.
@@ -127,7 +130,8 @@
     bool Running_ = true;
     Millis StartAt_ = 0; ///< Time of the next start; 0 means never.
     Millis FrozenUntil_ = 0;
-    Millis HostsReadUntil_ = 0; ///< End of its read of the host list.
+    int HostReads_ = 0;    ///< Reads of the host list in progress.
+    int HostReadRace_ = 0; ///< Counts the reads that have succeeded.
     std::uint64_t Incarnation_ = 1;
   };
 
@@ -144,7 +148,10 @@
   /// Reads the operator log; waits for a new record until a point in time.
   void readOperatorLog(int I, const ReadOperatorLog &E, Millis Until);
   void appendToControlLog(int I, const AppendToLog &E);
-  void readHosts(int I);
+  void readHosts(int I, bool Second);
+  /// @param Read its answer; null: it has failed
+  void endHostRead(int I, std::uint64_t Incarnation, int Race,
+                   const HostsRead *Read);
   void appendOperatorRecord(decltype(OperatorEntry::Content_) Record);
   bool canReachStore(int I) const;
   /// @return duration in ms of a call that the store answers or refuses
--- a/tests/removed_host_test.cpp
+++ b/tests/removed_host_test.cpp
@@ -46,6 +46,7 @@
                                         : 2000;
     ContactTime_ = DrainTime_ + 1000;
     Group_ = std::make_unique<PlatformGroup>(Size, Config);
+    Group_->KnowledgeLimit_ = DrainTime_;
     for (int I = 0; I < HostCount; ++I)
       Hosts_.push_back(sampleHost("o" + std::to_string(I), "orders", "a", 1));
     Group_->setHosts(Hosts_);
--- a/tests/sums_test.cpp
+++ b/tests/sums_test.cpp
@@ -87,7 +87,7 @@
   std::vector<HostRow> Extended = makeHosts();
   Extended.push_back(makeHost("o9", "orders", "a", 1));
   reduceEvent(PeerReceived{
-      {{"entry-2", 9}, HostsMessage{OwnListVersion + 1, Extended, {}}}});
+      {{"entry-2", 9}, HostsMessage{OwnListVersion + 1, Extended, {}, 0}}});
   EXPECT_EQ(State_.Upstreams_.size(), makeHosts().size() + 1);
 }
 
