--- a/review/rig3.py
+++ b/review/rig3.py
@@ -130,6 +130,7 @@
 
     def __init__(self):
         self.topics = {}  # name -> list of (key, value)
+        self.era = 1
         self.news = asyncio.Event()
 
     def put(self, topic, key, value):
@@ -146,7 +147,7 @@
         path, _, query = target.partition("?")
         words = dict(urllib.parse.parse_qsl(query))
         records = self.topics.setdefault(words.get("topic", ""), [])
-        era = [("Store-Era", 1)]
+        era = [("Store-Era", self.era)]
         if path == "/-/log-append":
             if "at" in words and int(words["at"]) != len(records):
                 out = json.dumps({"end": len(records)}).encode()
@@ -163,6 +164,9 @@
             self.wake()
         elif path == "/-/log-read":
             start = int(words["from"])
+            if start > len(records):
+                writer.write(reply(410, json.dumps({"first": 0}).encode(), era))
+                return
             end = time.monotonic() + int(words.get("waitMs", 0)) / 1000
             while len(records) <= start and time.monotonic() < end:
                 try:
