Review case 13: with a bound that is a fraction no process starts

Cause: settings are filled in as "7.5s" where a bound is a fraction, and durations are read as whole numbers with a unit. Case: review/13, a script; 2 of 3 machines get settings with graceS 7.5 and SIGHUP, then restart in turn; the platform starts what ends by itself again.

--- a/review/rig3.py
+++ b/review/rig3.py
@@ -253,6 +253,7 @@
             free_port(self.ips) for _ in range(5))
         self.store, self.cloud = Store(), Cloud()
         self.processes = [None] * entries
+        self.bounds = [dict(BOUNDS) for _ in range(entries)]
         self.version = 0
         self.deploy = tomllib.loads((TOP / "deploy/system.toml").read_text())
 
@@ -267,6 +268,11 @@
             "coldRemainingMs": 0, "sequence": 1,
             "born": int(time.time() * 1000)})
 
+    def remove_server(self, name):
+        """The entry of a server that is silent is removed."""
+        self.store.topics["keyed.servers"].append((name.encode(), b""))
+        self.store.wake()
+
     def write_config(self, keys, routes):
         """Publishes a configuration. keys: of the one tenant."""
         self.version += 1
@@ -281,7 +287,11 @@
                          "unit": "tokens", "plainTokens": 200,
                          "ratePerS": 0, "burst": 0}]})
 
-    def start_entry(self, i):
+    def write_settings(self, i):
+        """Fills in the template as the platform does.
+
+        Returns the path of the settings file.
+        """
         role = self.deploy["roles"]["entry"]
         values = {
             "node": f"front-{'abc'[i]}-1", "zone": "abc"[i],
@@ -290,12 +300,19 @@
                        "ready": f"{self.ips[i]}:{self.ready}"},
             "internalPorts": [self.peer, self.relay],
             "seeds": [f"{ip}:{self.control}" for ip in self.ips],
-            "limits": {"memoryMb": 390, "maxFds": 6150}, "bounds": BOUNDS,
+            "limits": {"memoryMb": 390, "maxFds": 6150},
+            "bounds": self.bounds[i],
             "platform": {"address": self.store.address},
             "cloud": {"address": self.cloud.address}}
         path = pathlib.Path(self.folder.name) / f"entry-{i}.ini"
         path.write_text(fill_template((TOP / role["template"]).read_text(),
                                       values))
+        return path
+
+    def start_entry(self, i):
+        """Starts a process with the settings in effect at this moment."""
+        path = self.write_settings(i)
+        role = self.deploy["roles"]["entry"]
         command = role["run"].split(" ")
         command = [f"--settings={path}" if word.startswith("--settings=")
                    else word for word in command]
@@ -339,12 +356,12 @@
             "service": "desk", "attempts": attempts, "public": False}
 
 
-def run_case(folder, case):
+def run_case(folder, case, entries=2):
     """Runs a case and exits as the review's rules say."""
     record = Record(folder)
 
     async def play():
-        deployment = Deployment(record)
+        deployment = Deployment(record, entries)
         try:
             await deployment.start()
             return await case(deployment, record)
